--- /dev/null
+++ b/src/main/java/firstair/control/Control.java
@@ -0,0 +1,857 @@
+package firstair.control;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * All decisions of a relay and all state behind them. The interface is {@code Controller.java} beside this
+ * file; docs/design.md says what comes from the design and what was added.
+ */
+public final class Control implements Controller {
+    // The design's own figures (docs/design.md).
+    private static final double FIRST_PAUSE_MS = 200;      // first pause of a message after a failed try
+    private static final double PAUSE_GROWTH = 2;          // each further pause is so many times longer
+    private static final double JITTER = 0.25;             // pauses vary by this share either way
+    private static final double CAP = 0.75;                // share of the slots that one destination may hold
+    private static final double SICK_CAP = 0.5;            // the same while it fails or is slow
+    // Time-outs and call durations.
+    private static final double DEFAULT_CALL_MS = 300;     // usual call before any was seen
+    private static final double LEARN = 0.1;               // weight of a new duration in the usual one
+    private static final double LEARN_PACE = 0.3;          // weight of a new call in an endpoint's slowness
+    private static final double OUTLIER = 3;               // a duration counts for at most so many usual ones
+    private static final double TIMEOUT_CALLS = 8;         // usual durations until a call is timed out
+    private static final double LEAST_TIMEOUT_MS = 1000;   // below this chance alone would time calls out
+    private static final double WINDOW_SHARE = 0.6;        // of a key's window that one attempt may use up
+    private static final double EXTRA_ITEM = 0.15;         // work of a further message in a call, in calls
+    private static final double STALL_CALLS = 5;           // usual durations without an answer: endpoint stalls
+    private static final double LEAST_STALL_MS = 700;      // shorter silences are common
+    private static final double SLOW = 3;                  // so many times slower than usual is slow
+    // Health and return of a destination.
+    private static final int DOWN_AFTER = 3;               // failures in a row that make an endpoint down
+    private static final double FULL_OUTAGE_MS = 2500;     // refusals alone mean an outage after this long
+    private static final double SHUT_WAIT_MS = 2500;       // a longer wait means shut, not a limit's span
+    private static final double FIRST_TRIAL_MS = 500;      // first pause before a trial of a down endpoint
+    private static final double MOST_TRIAL_MS = 3000;      // longest pause between trials
+    private static final double RAMP_SHARE = 0.8;          // of the budget of a returning destination we use
+    private static final double ROUGH_OFF = 1.5;           // a rough weight may be so many times too high
+    private static final double LEAST_RATE = 0.5;          // calls a second assumed where nothing is known
+    private static final double RATE_SPAN_MS = 5000;       // span over which our own rate is averaged
+    // Pacing at limits.
+    private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
+    private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
+    private static final double GROW = 0.15;               // growth a second, as a share of our part of the limit
+    private static final double BURST_MS = 400;            // so much of the rate may go at once
+    private static final double UNTOLD_WAIT_MS = 250;      // own pause of a destination refusing without a wait
+    private static final double MOST_UNTOLD_MS = 2000;     // its longest
+    private static final double CONN_BACK_MS = 5000;       // a connection limit learned is raised again after this
+    // Choice among waiting messages.
+    private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
+    private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
+    private static final double ROOM = 0.06;               // share of the open messages kept free for new ones
+    // Others.
+    private static final double HISTORY_MS = 100;          // handed in this late, a message was tried before
+    private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
+    private static final double TICK_MS = 5;               // wake-ups are no closer than this
+
+    private static final class Msg {
+        Message m;
+        MessageClass c;
+        Dest dest;
+        double handedAt;      // when it was first handed in, by its deadline
+        int tries;
+        int pauses;
+        int timeouts;
+        double notBefore;
+        double doubtAt = Double.NaN; // first send that may have run
+        int doubtZone = -1;   // zone of that send, -1 if unknown
+        boolean history;      // may have been tried by a relay that we never heard of
+        boolean out;          // an attempt is in flight
+        boolean over;
+        double rank;
+
+        boolean inDoubt() {
+            return !Double.isNaN(doubtAt);
+        }
+    }
+
+    /** One call to an endpoint; it may carry several messages. */
+    private static final class Call {
+        Endpoint e;
+        double sentAt;
+        int items;
+        int open;
+        boolean trial;
+        boolean judged;
+    }
+
+    private static final class Attempt {
+        Msg m;
+        Call call;
+    }
+
+    /** What shares one limit: a destination, or one route where routes are apart. */
+    private static final class Unit {
+        final List<Endpoint> endpoints = new ArrayList<>();
+        double waitUntil = Double.NEGATIVE_INFINITY;
+        double limit;          // calls a second reported, 0 if none
+        double rate = Double.POSITIVE_INFINITY;
+        double tokens = 1;
+        double filledAt = Double.NaN;
+        double cutAt = Double.NEGATIVE_INFINITY;
+        double sentRate;       // our own calls a second, averaged
+        double sentRateAt;
+        double usualRate;      // our own delivered calls a second while healthy
+        double okAt = Double.NEGATIVE_INFINITY;
+        double fullSince = Double.NaN;
+        int fulls;
+        int failRun;
+    }
+
+    private static final class Endpoint {
+        String name;
+        Dest dest;
+        Unit unit;
+        int kind;
+        int zone;
+        double weight;
+        boolean active;
+        int inflight;
+        final ArrayDeque<Double> idle = new ArrayDeque<>(); // when our idle connections were last used
+        int connCap = Integer.MAX_VALUE;
+        double connCapAt;
+        int failRun;
+        double okAt = Double.NEGATIVE_INFINITY;
+        double okSentAt = Double.NEGATIVE_INFINITY; // latest send known to have been answered
+        boolean down;
+        int trials;
+        double trialAt;
+        double coldSince = Double.NaN;  // when its return began, NaN if it is warm
+        double rampAt;
+        double slowness = 1;
+        final List<Call> calls = new ArrayList<>();
+        Call round;           // the call of this round that further messages may join
+        double roundAt = Double.NaN;
+    }
+
+    private static final class Dest {
+        final List<Endpoint> endpoints = new ArrayList<>();
+        double[] usual;
+        int[] seen;
+        int inflight;
+    }
+
+    private static final class Order {
+        final ArrayDeque<Msg> queue = new ArrayDeque<>();
+        int out;
+        double restUntil = Double.NEGATIVE_INFINITY;
+    }
+
+    private final Settings cfg;
+    private final Actions act;
+    private final Random random;
+    private final Map<Long, Msg> held = new LinkedHashMap<>();
+    private final Map<Long, Attempt> attempts = new HashMap<>();
+    private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
+    private final Map<Integer, Dest> dests = new LinkedHashMap<>();
+    private final Map<Integer, Unit> shared = new HashMap<>();
+    private final Map<String, Order> orders = new HashMap<>();
+    private final double[] classUsual;
+    private int slotsUsed;
+    private double wakeAt = Double.POSITIVE_INFINITY; // earliest wake-up asked for
+    private double nextWake;                          // earliest that this round wants
+    private double askAt = Double.POSITIVE_INFINITY;
+    private int askFailures;
+
+    /** One relay's decisions; the same events and seed give the same actions. */
+    public Control(Settings settings, long seed, Actions actions) {
+        cfg = settings;
+        act = actions;
+        random = new Random(seed);
+        classUsual = new double[settings.classes().size()];
+        java.util.Arrays.fill(classUsual, DEFAULT_CALL_MS);
+        if (cfg.askForList()) {
+            act.watchList();
+        }
+    }
+
+    // ---- events ----
+
+    @Override
+    public void list(double now, News news, List<Entry> entries) {
+        if (news == News.FAILED) {
+            // A failure does not say whether a watch stands: ask again, long before askEvery has passed.
+            double pause = Math.min(ASK_AGAIN_MS * Math.pow(2, Math.min(askFailures++, 3)),
+                    cfg.rules().askEveryMs() > 0 ? cfg.rules().askEveryMs() / 8 : Double.MAX_VALUE);
+            askAt = now + jittered(pause);
+            return;
+        }
+        if (news != News.STORED) {
+            askFailures = 0;
+        }
+        if (news != News.CHANGES) {
+            endpoints.values().forEach(e -> e.active = false);
+        }
+        for (Entry en : entries) {
+            Endpoint e = endpoints.computeIfAbsent(en.endpoint(), k -> add(en));
+            e.active = en.listing() == Listing.ACTIVE;
+            e.weight = en.weight();
+        }
+    }
+
+    private Endpoint add(Entry en) {
+        Endpoint e = new Endpoint();
+        e.name = en.endpoint();
+        e.kind = en.kind();
+        e.zone = en.zone();
+        e.dest = dest(en.destination());
+        e.dest.endpoints.add(e);
+        e.unit = kind(e).routesApart() ? new Unit() : shared.computeIfAbsent(en.destination(), k -> new Unit());
+        e.unit.endpoints.add(e);
+        return e;
+    }
+
+    private Dest dest(int number) {
+        return dests.computeIfAbsent(number, k -> {
+            Dest d = new Dest();
+            d.usual = new double[cfg.classes().size()];
+            d.seen = new int[cfg.classes().size()];
+            return d;
+        });
+    }
+
+    private Kind kind(Endpoint e) {
+        return e.kind < cfg.kinds().size() ? cfg.kinds().get(e.kind)
+                : cfg.kinds().isEmpty() ? new Kind(false, 1) : cfg.kinds().get(cfg.kinds().size() - 1);
+    }
+
+    @Override
+    public void taken(double now, Message message) {
+        Msg m = new Msg();
+        m.m = message;
+        m.c = cfg.classes().get(message.messageClass());
+        m.dest = dest(message.destination());
+        m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
+        m.notBefore = now;
+        m.history = message.again() || message.fromDeadRelay() || now - m.handedAt > HISTORY_MS;
+        if (m.history && m.c.effect() == Effect.KEYED && (m.c.scope() == Scope.ALL || message.fromDeadRelay())) {
+            m.doubtAt = m.handedAt; // the earliest send that an unseen history can hold
+        }
+        held.put(message.id(), m);
+        if (m.c.inOrder() && message.key() != null) {
+            orders.computeIfAbsent(message.key(), k -> new Order()).queue.add(m);
+        }
+    }
+
+    @Override
+    public void begun(double now, long id, int attempt) {
+        // A begun answer belongs to the client: no time-out and no further attempt of ours; nothing to decide.
+    }
+
+    @Override
+    public void withdrawn(double now, long id) {
+        Msg m = held.get(id);
+        if (m != null) {
+            end(m);
+        }
+    }
+
+    @Override
+    public void timer(double now) {
+        if (now >= wakeAt - 1e-6) {
+            wakeAt = Double.POSITIVE_INFINITY;
+        }
+    }
+
+    @Override
+    public void ended(double now, Outcome o) {
+        Attempt a = attempts.remove(key(o.id(), o.attempt()));
+        if (a == null) {
+            return;
+        }
+        Msg m = a.m;
+        Call c = a.call;
+        Endpoint e = c.e;
+        m.out = false;
+        boolean maybeRan = o.result() != Result.FULL && o.result() != Result.CONNECT_FAILED
+                && o.result() != Result.NOT_SENT;
+        if (--c.open == 0) {
+            slotsUsed--;
+            e.inflight--;
+            e.dest.inflight--;
+            e.calls.remove(c);
+            if (o.result() == Result.OK || o.result() == Result.ERROR || o.result() == Result.FULL) {
+                e.idle.addLast(now);
+            }
+        }
+        if (!Double.isNaN(o.load().limitPerS())) {
+            e.unit.limit = o.load().limitPerS();
+        }
+        if (!c.judged) {
+            c.judged = true; // a shared call has one fate: count it once
+            judge(now, o, c, m);
+        }
+        Order order = m.c.inOrder() && m.m.key() != null ? orders.get(m.m.key()) : null;
+        if (order != null) {
+            order.out--;
+            if (o.result() == Result.TIMEOUT || o.result() == Result.RESET || o.result() == Result.CANCELLED) {
+                order.restUntil = Math.max(order.restUntil, now + cfg.rules().settleAfterDoubtMs());
+            }
+            forget(m, order);
+        }
+        if (o.over()) {
+            end(m);
+        }
+        if (m.over) {
+            return;
+        }
+        if (maybeRan && !m.inDoubt()) {
+            m.doubtAt = c.sentAt;
+            m.doubtZone = e.zone;
+        }
+        if (o.result() == Result.TIMEOUT) {
+            m.timeouts++;
+        }
+        double wait = Math.max(now, e.unit.waitUntil) - now;
+        double pause = jittered(FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++));
+        double left = m.m.deadlineAt() - now - wait - usual(m.dest, m.m.messageClass());
+        m.notBefore = now + wait + Math.max(0, Math.min(pause, left / 2));
+    }
+
+    /** What one call tells of its endpoint and its unit. */
+    private void judge(double now, Outcome o, Call c, Msg m) {
+        Endpoint e = c.e;
+        Unit u = e.unit;
+        if (o.result() == Result.OK) {
+            double took = o.tookMs() / (1 + EXTRA_ITEM * (c.items - 1));
+            double usual = usual(m.dest, m.m.messageClass());
+            e.slowness += LEARN_PACE * (took / usual - e.slowness);
+            learn(m, Math.min(took, OUTLIER * usual));
+            if (e.down) {
+                act.report("endpoint " + e.name + " answers again, ramping up");
+            }
+            if (e.down || e.coldSince == Double.POSITIVE_INFINITY) {
+                e.coldSince = now;
+                e.rampAt = now;
+                for (Endpoint other : u.endpoints) {
+                    other.trialAt = Math.min(other.trialAt, now + jittered(FIRST_TRIAL_MS));
+                }
+            }
+            e.down = false;
+            e.failRun = 0;
+            e.okAt = now;
+            e.okSentAt = Math.max(e.okSentAt, c.sentAt);
+            u.okAt = now;
+            u.failRun = 0;
+            u.fulls = 0;
+            u.fullSince = Double.NaN;
+            if (Double.isNaN(e.coldSince)) {
+                u.usualRate += 1000.0 / RATE_SPAN_MS;
+            }
+            return;
+        }
+        if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) {
+            return;
+        }
+        if (o.result() == Result.FULL) {
+            full(now, o.waitMs(), e);
+            if (!c.trial && (Double.isNaN(u.fullSince) || now - u.fullSince < FULL_OUTAGE_MS)
+                    && o.waitMs() < SHUT_WAIT_MS) {
+                return;
+            }
+        }
+        if (o.result() == Result.CONNECT_FAILED && (e.inflight > 0 || now - e.okAt < FULL_OUTAGE_MS) && !e.down
+                && e.failRun < DOWN_AFTER - 1) {
+            // Few connections are taken there: stay under what we had, whatever took the rest of them.
+            e.connCap = Math.max(1, e.inflight + e.idle.size());
+            e.connCapAt = now;
+        }
+        if (c.sentAt < e.okSentAt) {
+            return; // a call sent later was answered: this is old news
+        }
+        e.failRun++;
+        u.failRun++;
+        if (!Double.isNaN(e.coldSince)) {
+            e.coldSince = Double.POSITIVE_INFINITY;
+        }
+        if (c.trial || e.down || e.failRun >= DOWN_AFTER || u.failRun >= DOWN_AFTER && now - u.okAt > LEAST_STALL_MS) {
+            if (!e.down) {
+                act.report("endpoint " + e.name + " held to be sick after " + o.result());
+            }
+            e.down = true;
+            e.coldSince = Double.POSITIVE_INFINITY;
+            double pause = Math.min(MOST_TRIAL_MS, FIRST_TRIAL_MS * Math.pow(PAUSE_GROWTH, e.trials++));
+            e.trialAt = Math.max(u.waitUntil, now) + jittered(pause);
+        }
+    }
+
+    /** A refusal: keep a told wait, take an own one otherwise, and slow down where it may be a limit. */
+    private void full(double now, double waitMs, Endpoint e) {
+        Unit u = e.unit;
+        u.fulls++;
+        if (Double.isNaN(u.fullSince)) {
+            u.fullSince = now;
+        }
+        double own = jittered(Math.min(MOST_UNTOLD_MS, UNTOLD_WAIT_MS * Math.pow(PAUSE_GROWTH, u.fulls - 1)));
+        // After a told wait all relays come at once: a little chance spreads them.
+        double until = now + (waitMs > 0 ? waitMs + 1 + random.nextDouble() * TICK_MS * 10 : own);
+        u.waitUntil = Math.max(u.waitUntil, until);
+        if (now - u.cutAt > CUT_EVERY_MS && !e.down) {
+            u.cutAt = now;
+            refill(now, u);
+            double share = Math.max(LEAST_RATE, known(u) / cfg.group());
+            double base = Math.min(u.rate, Math.max(u.sentRate, share));
+            u.rate = Math.max(LEAST_RATE, CUT * base);
+            u.tokens = Math.min(u.tokens, 1);
+        }
+    }
+
+    // ---- what is known of units ----
+
+    /** Calls a second that the unit takes from all relays as far as it is told, 0 if not. */
+    private double known(Unit u) {
+        if (u.limit > 0) {
+            return u.limit;
+        }
+        return weight(u) / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
+    }
+
+    private double weight(Unit u) {
+        return cfg.weight() == Weight.NONE || u.endpoints.isEmpty() ? 0
+                : u.endpoints.get(u.endpoints.size() - 1).weight;
+    }
+
+    private void refill(double now, Unit u) {
+        if (Double.isNaN(u.filledAt)) {
+            u.filledAt = now;
+        }
+        double dt = now - u.filledAt;
+        u.filledAt = now;
+        double keep = Math.exp(-dt / RATE_SPAN_MS);
+        u.sentRate *= keep;
+        u.usualRate *= keep;
+        if (u.rate < Double.POSITIVE_INFINITY) {
+            u.rate += GROW * Math.max(known(u) / cfg.group(), LEAST_RATE) * dt / 1000;
+        }
+        if (u.limit > 0) {
+            u.rate = Math.min(u.rate, u.limit);
+        }
+        u.tokens = u.rate == Double.POSITIVE_INFINITY ? 1
+                : Math.min(Math.max(1, u.rate * BURST_MS / 1000), u.tokens + u.rate * dt / 1000);
+    }
+
+    /** Calls a second that we may send to a returning endpoint: our part of its budget at this moment. */
+    private double rampRate(double now, Endpoint e) {
+        double since = e.coldSince == Double.POSITIVE_INFINITY ? 0 : now - e.coldSince;
+        double s = cfg.rules().startCapacity();
+        double share = Math.min(1, s + (1 - s) * since / Math.max(1, cfg.rules().warmAfterMs()));
+        Unit u = e.unit;
+        int n = 0;
+        for (Endpoint x : u.endpoints) {
+            n += x.active ? 1 : 0;
+        }
+        double ours = known(u) > 0 ? known(u) / cfg.group() : Math.max(LEAST_RATE, u.usualRate);
+        return RAMP_SHARE * Math.max(1, cfg.rules().fallMultiple()) * share * ours / Math.max(1, n);
+    }
+
+    private double usual(Dest d, int messageClass) {
+        return d.seen[messageClass] > 0 ? d.usual[messageClass] : classUsual[messageClass];
+    }
+
+    private void learn(Msg m, double took) {
+        int k = m.m.messageClass();
+        Dest d = m.dest;
+        double w = Math.max(LEARN, 1.0 / (d.seen[k] + 2));
+        d.usual[k] = usual(d, k) + w * (took - usual(d, k));
+        d.seen[k]++;
+        classUsual[k] += LEARN / 2 * (took - classUsual[k]);
+    }
+
+    // ---- the round ----
+
+    @Override
+    public void decide(double now) {
+        nextWake = Double.POSITIVE_INFINITY;
+        if (askAt <= now) {
+            askAt = Double.POSITIVE_INFINITY;
+            act.watchList();
+        }
+        wake(askAt);
+        List<Msg> ready = new ArrayList<>();
+        for (Msg m : new ArrayList<>(held.values())) {
+            if (m.out || drop(now, m)) {
+                continue;
+            }
+            if (m.notBefore > now) {
+                wake(m.notBefore);
+            } else if (inTurn(now, m)) {
+                ready.add(m);
+            }
+        }
+        makeRoom(now);
+        for (Msg m : ready) {
+            m.rank = rank(now, m);
+        }
+        ready.sort(Comparator.comparingDouble((Msg m) -> -m.rank));
+        for (Msg m : ready) {
+            if (!m.over) {
+                trySend(now, m);
+            }
+        }
+        if (nextWake < wakeAt - 1e-6 && nextWake < Double.POSITIVE_INFINITY) {
+            double in = Math.max(TICK_MS / 2, nextWake - now);
+            wakeAt = now + in;
+            act.wake(in);
+        }
+    }
+
+    private void wake(double at) {
+        nextWake = Math.min(nextWake, at);
+    }
+
+    /** Order per key: a message goes only when all taken before it with its key are over and at rest. */
+    private boolean inTurn(double now, Msg m) {
+        if (!m.c.inOrder() || m.m.key() == null) {
+            return true;
+        }
+        Order order = orders.get(m.m.key());
+        if (order.queue.peekFirst() != m || order.out > 0) {
+            return false;
+        }
+        if (m.tries == 0 && order.restUntil > now) {
+            wake(order.restUntil);
+            return false;
+        }
+        return true;
+    }
+
+    /** Gives the final answer at once where no further attempt can be made or can land in time. */
+    private boolean drop(double now, Msg m) {
+        double usual = usual(m.dest, m.m.messageClass());
+        double last = m.m.deadlineAt() - usual;
+        boolean spent = cfg.limits().maxAttempts() > 0 && m.tries >= cfg.limits().maxAttempts();
+        if (m.inDoubt()) {
+            if (m.c.effect() == Effect.UNSAFE) {
+                spent = true;
+            } else if (m.c.effect() == Effect.KEYED) {
+                last = Math.min(last, m.doubtAt + m.c.windowMs() - usual);
+                spent |= m.c.scope() == Scope.ZONE && m.doubtZone < 0 && severalZones(m.dest);
+            }
+        }
+        double soonest = now;
+        if (!m.dest.endpoints.isEmpty()) {
+            double opens = Double.POSITIVE_INFINITY;
+            for (Endpoint e : m.dest.endpoints) {
+                opens = e.active ? Math.min(opens, e.unit.waitUntil) : opens;
+            }
+            soonest = opens == Double.POSITIVE_INFINITY ? now : Math.max(now, opens);
+        }
+        if (!spent && soonest <= last) {
+            wake(last + 1);
+            return false;
+        }
+        answer(m, Math.max(0, soonest - now));
+        return true;
+    }
+
+    private static boolean severalZones(Dest d) {
+        for (Endpoint e : d.endpoints) {
+            if (e.zone != d.endpoints.get(0).zone) {
+                return true;
+            }
+        }
+        return d.endpoints.isEmpty();
+    }
+
+    /** Final answer: refused where handing it in again is harmless, given up otherwise. */
+    private void answer(Msg m, double comeBackMs) {
+        boolean harmless = m.c.effect() == Effect.SAFE || !m.inDoubt() && !(m.history && m.c.effect() == Effect.UNSAFE)
+                || m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ALL;
+        if (harmless) {
+            act.refuse(m.m.id(), cfg.limits().retryAfter() ? Math.min(comeBackMs, cfg.limits().maxRetryAfterMs()) : 0);
+        } else {
+            act.giveUp(m.m.id());
+        }
+        end(m);
+    }
+
+    private void end(Msg m) {
+        m.over = true;
+        held.remove(m.m.id());
+        if (m.c.inOrder() && m.m.key() != null) {
+            Order order = orders.get(m.m.key());
+            if (order != null) {
+                order.queue.remove(m);
+                forget(m, order);
+            }
+        }
+    }
+
+    private void forget(Msg m, Order order) {
+        if (order.queue.isEmpty() && order.out == 0 && cfg.rules().settleAfterDoubtMs() <= 0) {
+            orders.remove(m.m.key());
+        }
+    }
+
+    /** Keeps room for new messages: what is least likely to earn goes first, not what comes next. */
+    private void makeRoom(double now) {
+        int most = cfg.limits().maxOpen();
+        if (most <= 0) {
+            return;
+        }
+        int allowed = most - Math.max(1, (int) (most * ROOM));
+        while (held.size() > allowed) {
+            Msg worst = null;
+            double least = Double.POSITIVE_INFINITY;
+            for (Msg m : held.values()) {
+                double hope = m.out ? Double.POSITIVE_INFINITY : hope(now, m);
+                if (hope < least) {
+                    least = hope;
+                    worst = m;
+                }
+            }
+            if (worst == null) {
+                return;
+            }
+            answer(worst, MOST_TRIAL_MS);
+        }
+    }
+
+    /** Worth still to be won by a waiting message: less where its destination is sick. */
+    private double hope(double now, Msg m) {
+        double best = Double.POSITIVE_INFINITY;
+        for (Endpoint e : m.dest.endpoints) {
+            if (e.active) {
+                double delay = Math.max(0, e.unit.waitUntil - now)
+                        + (e.down ? MOST_TRIAL_MS * 2 : 0) + (e.slowness > SLOW ? MOST_TRIAL_MS : 0);
+                best = Math.min(best, delay);
+            }
+        }
+        return best == Double.POSITIVE_INFINITY ? 0 : worth(m, now + best + usual(m.dest, m.m.messageClass()));
+    }
+
+    private double worth(Msg m, double at) {
+        double age = at - m.handedAt;
+        MessageClass c = m.c;
+        double aim = Math.min(c.deadlineMs(), c.aimMs() + c.aimStretch() * m.m.workMs());
+        if (age <= aim) {
+            return c.worth();
+        }
+        if (at > m.m.deadlineAt()) {
+            return 0;
+        }
+        double late = age - aim;
+        double left = cfg.late() == LateCurve.HALVING ? Math.max(c.lateWorth(), Math.pow(0.5, late / Math.max(1, aim)))
+                : 1 - (1 - c.lateWorth()) * late / Math.max(1, c.deadlineMs() - aim);
+        return c.worth() * left;
+    }
+
+    /** Worth lost by waiting, for each moment of slot time; a little for worth that waiting does not lose. */
+    private double rank(double now, Msg m) {
+        double slow = Double.POSITIVE_INFINITY;
+        for (Endpoint e : m.dest.endpoints) {
+            slow = Math.min(slow, e.active ? Math.max(1, e.slowness) : slow);
+        }
+        double d = usual(m.dest, m.m.messageClass()) * (slow == Double.POSITIVE_INFINITY ? 1 : slow);
+        double soon = worth(m, now + d);
+        return (soon - worth(m, now + d + LOOKAHEAD_MS) + BASE_WORTH * soon) / d;
+    }
+
+    // ---- sending ----
+
+    private boolean sick(Dest d) {
+        boolean any = false;
+        for (Endpoint e : d.endpoints) {
+            if (e.active) {
+                any = true;
+                if (!e.down && e.slowness < SLOW) {
+                    return false;
+                }
+            }
+        }
+        return any;
+    }
+
+    private int sickSlots() {
+        int used = 0;
+        for (Dest d : dests.values()) {
+            used += d.inflight > 0 && sick(d) ? d.inflight : 0;
+        }
+        return used;
+    }
+
+    private boolean slotFor(Dest d) {
+        int slots = cfg.limits().slots();
+        if (slots <= 0) {
+            return true;
+        }
+        int half = Math.max(1, (int) (slots * SICK_CAP));
+        return slotsUsed < slots && (sick(d) ? sickSlots() < half : d.inflight < Math.max(1, (int) (slots * CAP)));
+    }
+
+    private void trySend(double now, Msg m) {
+        Endpoint best = null;
+        double least = Double.POSITIVE_INFINITY;
+        boolean slot = slotFor(m.dest);
+        for (Endpoint e : m.dest.endpoints) {
+            if (!e.active || m.inDoubt() && m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ZONE
+                    && m.doubtZone >= 0 && e.zone != m.doubtZone) {
+                continue;
+            }
+            boolean joins = joins(now, e);
+            if (!joins && (!slot || !open(now, e))) {
+                continue;
+            }
+            double cost = (e.inflight + 1.0) * Math.max(0.5, e.slowness) * (joins ? 0.5 : 1)
+                    + (e.zone == cfg.zone() ? 0 : 0.5) + (hasIdle(now, e) ? 0 : 0.3)
+                    + (e.down ? 100 : 0);
+            if (cost < least) {
+                least = cost;
+                best = e;
+            }
+        }
+        if (best != null) {
+            send(now, m, best);
+        }
+    }
+
+    private boolean joins(double now, Endpoint e) {
+        return e.round != null && e.roundAt == now && !e.round.trial && e.round.items < kind(e).bundleMax();
+    }
+
+    private boolean hasIdle(double now, Endpoint e) {
+        while (!e.idle.isEmpty() && now - e.idle.peekFirst() > cfg.limits().connectionIdleMs() - TICK_MS) {
+            e.idle.removeFirst();
+        }
+        return !e.idle.isEmpty();
+    }
+
+    /** Whether a new call may go to this endpoint now; asks for a wake-up when time alone will open it. */
+    private boolean open(double now, Endpoint e) {
+        Unit u = e.unit;
+        if (u.waitUntil > now) {
+            wake(u.waitUntil);
+            return false;
+        }
+        if (e.down) {
+            if (e.inflight > 0) {
+                return false;
+            }
+            for (Endpoint x : u.endpoints) {
+                if (x.down && x.inflight > 0) {
+                    return false; // one trial at a time
+                }
+            }
+            if (e.trialAt > now) {
+                wake(e.trialAt);
+                return false;
+            }
+            return true;
+        }
+        if (!Double.isNaN(e.coldSince)) {
+            if (e.coldSince < Double.POSITIVE_INFINITY && now - e.coldSince > cfg.rules().warmAfterMs()) {
+                act.report("endpoint " + e.name + " held to be warm");
+                e.coldSince = Double.NaN;
+                e.trials = 0;
+            } else if (e.rampAt > now) {
+                wake(e.rampAt);
+                return false;
+            }
+        }
+        if (stalled(now, e)) {
+            return false;
+        }
+        if (e.connCap != Integer.MAX_VALUE && !hasIdle(now, e)) {
+            if (now - e.connCapAt > CONN_BACK_MS) {
+                e.connCap++;
+                e.connCapAt = now;
+            }
+            if (e.inflight >= e.connCap) {
+                return false;
+            }
+        }
+        refill(now, u);
+        if (u.tokens < 1) {
+            wake(now + (1 - u.tokens) / u.rate * 1000);
+            return false;
+        }
+        return true;
+    }
+
+    /** Calls out and none answered for long: whatever the cause, more calls would only fill our slots. */
+    private boolean stalled(double now, Endpoint e) {
+        if (e.calls.isEmpty()) {
+            return false;
+        }
+        Call oldest = e.calls.get(0);
+        double usual = 0;
+        for (int k = 0; k < classUsual.length; k++) {
+            usual = Math.max(usual, usual(e.dest, k));
+        }
+        double patience = Math.max(LEAST_STALL_MS, STALL_CALLS * usual * Math.max(1, e.slowness)
+                * (1 + EXTRA_ITEM * (oldest.items - 1)));
+        return now - Math.max(oldest.sentAt, e.okAt) > patience;
+    }
+
+    private void send(double now, Msg m, Endpoint e) {
+        Call c;
+        if (joins(now, e)) {
+            c = e.round;
+        } else {
+            c = new Call();
+            c.e = e;
+            c.sentAt = now;
+            c.trial = e.down;
+            e.calls.add(c);
+            e.round = c;
+            e.roundAt = now;
+            e.inflight++;
+            e.dest.inflight++;
+            slotsUsed++;
+            if (hasIdle(now, e)) {
+                e.idle.removeLast();
+            }
+            refill(now, e.unit);
+            e.unit.tokens -= 1;
+            e.unit.sentRate += 1000.0 / RATE_SPAN_MS;
+        }
+        c.items++;
+        c.open++;
+        if (!Double.isNaN(e.coldSince)) {
+            double weight = c.items == 1 ? 1 : EXTRA_ITEM;
+            e.rampAt = Math.max(now, e.rampAt) + weight * 1000 / rampRate(now, e);
+        }
+        Attempt a = new Attempt();
+        a.m = m;
+        a.call = c;
+        attempts.put(key(m.m.id(), m.tries++), a);
+        m.out = true;
+        if (m.c.inOrder() && m.m.key() != null) {
+            orders.get(m.m.key()).out++;
+        }
+        act.send(m.m.id(), e.name, timeout(now, m, e, c));
+    }
+
+    private double timeout(double now, Msg m, Endpoint e, Call c) {
+        double usual = usual(m.dest, m.m.messageClass()) * (1 + EXTRA_ITEM * (c.items - 1));
+        double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
+                * Math.pow(PAUSE_GROWTH, m.timeouts);
+        if (m.c.effect() == Effect.KEYED) {
+            patience = Math.min(patience, Math.max(WINDOW_SHARE * m.c.windowMs(), OUTLIER * usual));
+        }
+        return Math.max(1, Math.min(patience, m.m.deadlineAt() - now));
+    }
+
+    private double jittered(double ms) {
+        return ms * (1 - JITTER + 2 * JITTER * random.nextDouble());
+    }
+
+    private static long key(long id, int attempt) {
+        return id << 20 | attempt;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstair/control/Controller.java
@@ -0,0 +1,117 @@
+package firstair.control;
+
+import java.util.List;
+
+/**
+ * What decides for one relay. The host hands in events as they happen and calls {@link #decide} once for
+ * each round of events; the answers go to {@link Actions}. Times are milliseconds on the host's clock.
+ * A setting that the host has no value for is 0, false or empty, and then imposes nothing.
+ */
+public interface Controller {
+
+    /** Whether a message may be sent more than once. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** The endpoints among which a destination drops repeats of a key. */
+    enum Scope { ALL, ZONE }
+
+    /** How the worth of a message falls after its aim. */
+    enum LateCurve { LINEAR, HALVING }
+
+    /** What the weight of an endpoint holds: nothing, calls a second, or a rough figure of them. */
+    enum Weight { NONE, NOMINAL, ROUGH }
+
+    /** How an attempt ended. */
+    enum Result { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, NOT_SENT }
+
+    /** State of an endpoint on the list; it tells nothing of its health. */
+    enum Listing { ACTIVE, LEAVING, LEFT }
+
+    /** What a piece of news of the list brings. */
+    enum News { CHANGES, COMPLETE, STORED, FAILED }
+
+    /** A class of message. */
+    record MessageClass(String name, Effect effect, Scope scope, boolean inOrder, boolean streaming, double aimMs,
+            double aimStretch, double deadlineMs, double windowMs, double worth, double lateWorth) { }
+
+    /** A kind of destination: whether its endpoints are routes apart, and how many messages a call carries. */
+    record Kind(boolean routesApart, int bundleMax) { }
+
+    /** What the site permits. */
+    record Limits(int slots, int maxOpen, int maxAttempts, boolean cancel, boolean probes, boolean peers,
+            boolean retryAfter, double maxRetryAfterMs, boolean secondCopies, int callsPerConnection,
+            double connectTimeoutMs, double connectionIdleMs) { }
+
+    /** Figures of the rules. */
+    record Rules(double answerSlackMs, double askEveryMs, double drainGraceMs, double startCapacity,
+            double warmAfterMs, double fallMultiple, double overloadForMs, double settleAfterDoubtMs) { }
+
+    /** Settings of one relay; {@code group} is the number of relays that share the destinations. */
+    record Settings(int group, int index, int zone, boolean askForList, Weight weight, LateCurve late,
+            List<MessageClass> classes, List<Kind> kinds, Limits limits, Rules rules) { }
+
+    /** A line of the list of endpoints. */
+    record Entry(String endpoint, int destination, int kind, int zone, double weight, Listing listing) { }
+
+    /**
+     * A message handed to this relay. {@code again} and {@code fromDeadRelay} tell that it may have a history
+     * that this relay never saw; {@code workMs} is a guess of its work, 0 if none is given.
+     */
+    record Message(long id, int messageClass, int destination, String key, double deadlineAt, double workMs,
+            boolean again, boolean fromDeadRelay) { }
+
+    /** What a destination reported of its limit; NaN where it told nothing. */
+    record Load(double allowanceLeft, double limitPerS) {
+        /** No report came. */
+        public static final Load NONE = new Load(Double.NaN, Double.NaN);
+    }
+
+    /** The end of an attempt; {@code over} if the message ended with it, {@code waitMs} 0 if no wait was told. */
+    record Outcome(long id, int attempt, String endpoint, Result result, double tookMs, boolean over,
+            double waitMs, Load load) { }
+
+    /** What a relay may ask of its host. */
+    interface Actions {
+        /** Calls an endpoint with a message. */
+        void send(long id, String endpoint, double timeoutMs);
+
+        /** Abandons the wait for an attempt. */
+        void cancel(long id, int attempt);
+
+        /** Final answer: handed back, and handing it in again is harmless; {@code afterMs} 0 gives no guidance. */
+        void refuse(long id, double afterMs);
+
+        /** Final answer: given up, with no promise about its effect. */
+        void giveUp(long id);
+
+        /** Asks for {@link Controller#timer} after a while. */
+        void wake(double inMs);
+
+        /** Asks to be told of changes of the list from now on. */
+        void watchList();
+
+        /** A line for the operators. */
+        void report(String text);
+    }
+
+    /** News of the list of endpoints; no entries come with {@link News#FAILED}. */
+    void list(double now, News news, List<Entry> entries);
+
+    /** A message was handed in; one final answer is owed. */
+    void taken(double now, Message message);
+
+    /** An attempt ended. */
+    void ended(double now, Outcome outcome);
+
+    /** The answer to an attempt of a streamed class has begun. */
+    void begun(double now, long id, int attempt);
+
+    /** Nobody wants the message any more; its attempts run on. */
+    void withdrawn(double now, long id);
+
+    /** A wake-up that was asked for. */
+    void timer(double now);
+
+    /** All events of this round were handed in: act. */
+    void decide(double now);
+}
--- /dev/null
+++ b/src/main/java/firstair/simhost/Facts.java
@@ -0,0 +1,85 @@
+package firstair.simhost;
+
+import firstair.control.Controller.Effect;
+import firstair.control.Controller.Kind;
+import firstair.control.Controller.LateCurve;
+import firstair.control.Controller.Limits;
+import firstair.control.Controller.MessageClass;
+import firstair.control.Controller.Rules;
+import firstair.control.Controller.Scope;
+import firstair.control.Controller.Settings;
+import firstair.control.Controller.Weight;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads the settings of a {@code start} line. Keys that are not known are passed over. A key that is absent
+ * stands for "nothing imposed": 0, false or empty; group size 1; kinds that share one limit and carry one
+ * message a call; classes that are safe to repeat.
+ */
+final class Facts {
+    private Facts() { }
+
+    static Settings read(Line s) {
+        return new Settings(Math.max(1, (int) s.whole("groupSize", 1)), (int) s.whole("slotNo", 0),
+                (int) s.whole("az", 0), s.text("discovery", "push").equals("ask"),
+                choice(s, "weightKind", "none", "nominal", Weight.NOMINAL, "rough", Weight.ROUGH, Weight.NONE),
+                choice(s, "familyInfo.late", "linear", "halving", LateCurve.HALVING, "", null, LateCurve.LINEAR),
+                classes(s), kinds(s), limits(s), rules(s));
+    }
+
+    private static List<MessageClass> classes(Line s) {
+        List<MessageClass> all = new ArrayList<>();
+        long count = s.whole("classes.count", 0);
+        for (int i = 0; i < count; i++) {
+            String p = "classes." + i + ".";
+            all.add(new MessageClass(s.text(p + "name", String.valueOf(i)),
+                    choice(s, p + "semantics", "retryable", "dedup", Effect.KEYED, "fragile", Effect.UNSAFE,
+                            Effect.SAFE),
+                    choice(s, p + "group", "all", "zone", Scope.ZONE, "", null, Scope.ALL),
+                    s.flag(p + "sequential", false), s.flag(p + "streaming", false), s.number(p + "aim", 0),
+                    s.number(p + "aimStretch", 0), s.number(p + "deadline", 0), s.number(p + "repeatWindow", 0),
+                    s.number(p + "importance", 1), s.number(p + "lateValue", 0)));
+        }
+        return all;
+    }
+
+    private static List<Kind> kinds(Line s) {
+        String[] apart = s.text("familyInfo.kindApart", "").split(",");
+        String[] bundle = s.text("familyInfo.bundleMax", "").split(",");
+        List<Kind> all = new ArrayList<>();
+        for (int i = 0; i < Math.max(apart.length, bundle.length); i++) {
+            int most = 1;
+            if (i < bundle.length && !bundle[i].isEmpty()) {
+                try {
+                    most = Integer.parseInt(bundle[i]);
+                } catch (NumberFormatException e) {
+                    throw s.bad("familyInfo.bundleMax", "not a whole number: " + bundle[i]);
+                }
+            }
+            all.add(new Kind(i < apart.length && apart[i].equals("true"), Math.max(1, most)));
+        }
+        return all;
+    }
+
+    private static Limits limits(Line s) {
+        return new Limits((int) s.whole("familyInfo.maxCalls", 0), (int) s.whole("limits.maxOpen", 0),
+                (int) s.whole("limits.maxAttempts", 0), s.flag("limits.cancelling", false),
+                s.flag("limits.probes", false), s.flag("limits.peers", false), s.flag("limits.retryAfter", false),
+                s.number("limits.maxRetryAfter", 0), s.flag("limits.mayDuplicate", false),
+                (int) s.whole("limits.multiplex", 1), s.number("limits.connectTimeout", 0),
+                s.number("limits.connIdle", 0));
+    }
+
+    private static Rules rules(Line s) {
+        return new Rules(s.number("safety.answerSlack", 0), s.number("safety.askEvery", 0),
+                s.number("safety.drainGrace", 0), s.number("safety.startCapacity", 0),
+                s.number("safety.warmAfter", 0), s.number("safety.fallMultiple", 0),
+                s.number("safety.overloadFor", 0), s.number("safety.settleAfterDoubt", 0));
+    }
+
+    private static <T> T choice(Line s, String name, String absent, String a, T forA, String b, T forB, T other) {
+        String v = s.text(name, absent);
+        return v.equals(a) ? forA : v.equals(b) ? forB : other;
+    }
+}
