Keep the wait told to each message of a shared call

Cause: messages that share a call are each told a wait, and the waits differ a little; only the first counted. Guards against any destination whose refusals of one call carry different notes.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -49,6 +49,7 @@
     private static final double BURST_MS = 400;            // so much of the rate may go at once
     private static final double UNTOLD_WAIT_MS = 250;      // own pause of a destination refusing without a wait
     private static final double MOST_UNTOLD_MS = 2000;     // its longest
+    private static final double SPREAD_MS = 50;            // relays that were told the same wait come back within it
     private static final double CONN_BACK_MS = 5000;       // a connection limit learned is raised again after this
     // Choice among waiting messages.
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
@@ -292,6 +293,11 @@
         if (!Double.isNaN(o.load().limitPerS())) {
             e.unit.limit = o.load().limitPerS();
         }
+        if (o.waitMs() > 0) {
+            // A wait binds whichever message learned it, also where messages of one call are told different ones.
+            // When it is over all relays come at once: a little chance spreads them.
+            e.unit.waitUntil = Math.max(e.unit.waitUntil, now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS);
+        }
         if (!c.judged) {
             c.judged = true; // a shared call has one fate: count it once
             judge(now, o, c, m);
@@ -397,10 +403,10 @@
         if (Double.isNaN(u.fullSince)) {
             u.fullSince = now;
         }
-        double own = jittered(Math.min(MOST_UNTOLD_MS, UNTOLD_WAIT_MS * Math.pow(PAUSE_GROWTH, u.fulls - 1)));
-        // After a told wait all relays come at once: a little chance spreads them.
-        double until = now + (waitMs > 0 ? waitMs + 1 + random.nextDouble() * TICK_MS * 10 : own);
-        u.waitUntil = Math.max(u.waitUntil, until);
+        if (waitMs <= 0) {
+            double own = Math.min(MOST_UNTOLD_MS, UNTOLD_WAIT_MS * Math.pow(PAUSE_GROWTH, u.fulls - 1));
+            u.waitUntil = Math.max(u.waitUntil, now + jittered(own));
+        }
         if (now - u.cutAt > CUT_EVERY_MS && !e.down) {
             u.cutAt = now;
             refill(now, u);
