Take history from marks alone and refuse only what can not have run

Cause: a message whose time left was shorter than its class's deadline was taken for one handed in before, so its key window seemed spent and it was refused at once. The design refuses only if no attempt can have run; keyed and safe messages in doubt are now given up. Harm: a client that does not mark its retries may bring a message whose history is not told; no relay refuses a message in doubt, so such a history holds no attempt that can have run.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -56,7 +56,6 @@
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
     private static final double ROOM = 0.06;               // share of the open messages kept free for new ones
     // Others.
-    private static final double HISTORY_MS = 100;          // handed in this late, a message was tried before
     private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
 
@@ -71,7 +70,6 @@
         double notBefore;
         double doubtAt = Double.NaN; // first send that may have run
         int doubtZone = -1;   // zone of that send, -1 if unknown
-        boolean history;      // may have been tried by a relay that we never heard of
         boolean out;          // an attempt is in flight
         boolean over;
         double rank;
@@ -239,9 +237,8 @@
         m.dest = dest(message.destination());
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
         m.notBefore = now;
-        m.history = message.again() || message.fromDeadRelay() || now - m.handedAt > HISTORY_MS;
-        if (m.history && m.c.effect() == Effect.KEYED && (m.c.scope() == Scope.ALL || message.fromDeadRelay())) {
-            m.doubtAt = m.handedAt; // the earliest send that an unseen history can hold
+        if (message.again() || message.fromDeadRelay()) {
+            m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
         }
         held.put(message.id(), m);
         if (m.c.inOrder() && message.key() != null) {
@@ -574,11 +571,9 @@
         return d.endpoints.isEmpty();
     }
 
-    /** Final answer: refused where handing it in again is harmless, given up otherwise. */
+    /** Final answer: refused only if no attempt can have run, given up otherwise. */
     private void answer(Msg m, double comeBackMs) {
-        boolean harmless = m.c.effect() == Effect.SAFE || !m.inDoubt() && !(m.history && m.c.effect() == Effect.UNSAFE)
-                || m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ALL;
-        if (harmless) {
+        if (!m.inDoubt()) {
             act.refuse(m.m.id(), cfg.limits().retryAfter() ? Math.min(comeBackMs, cfg.limits().maxRetryAfterMs()) : 0);
         } else {
             act.giveUp(m.m.id());
