--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -1,19 +1,14 @@
 package firstair.control;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
+import java.util.*;
 
 /**
  * All decisions of a relay and all state behind them. The interface is {@code Controller.java} beside this
  * file; docs/design.md says what comes from the design and what was added.
  */
 public final class Control implements Controller {
+    private static final double NEVER = Double.NEGATIVE_INFINITY;
+    private static final double FOREVER = Double.POSITIVE_INFINITY;
     // The design's own figures (docs/design.md).
     private static final double FIRST_PAUSE_MS = 200;      // first pause of a message after a failed try
     private static final double PAUSE_GROWTH = 2;          // each further pause is so many times longer
@@ -29,7 +24,7 @@
     private static final double LEAST_TIMEOUT_MS = 1000;   // below this chance alone would time calls out
     private static final double WINDOW_SHARE = 0.6;        // of a key's window that one attempt may use up
     private static final double EXTRA_ITEM = 0.15;         // work of a further message in a call, in calls
-    private static final double STALL_CALLS = 5;           // usual durations without an answer: endpoint stalls
+    private static final double STALL_CALLS = 5;           // usual durations of silence: the endpoint stalls
     private static final double LEAST_STALL_MS = 700;      // shorter silences are common
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
@@ -45,16 +40,16 @@
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
-    private static final double GROW = 0.15;               // growth a second, as a share of our part of the limit
+    private static final double GROW = 0.15;               // growth a second, in parts of our share
     private static final double BURST_MS = 400;            // so much of the rate may go at once
-    private static final double UNTOLD_WAIT_MS = 250;      // own pause of a destination refusing without a wait
+    private static final double UNTOLD_WAIT_MS = 250;      // own pause where a refusal tells no wait
     private static final double MOST_UNTOLD_MS = 2000;     // its longest
-    private static final double SPREAD_MS = 50;            // relays that were told the same wait come back within it
-    private static final double CONN_BACK_MS = 5000;       // a connection limit learned is raised again after this
+    private static final double SPREAD_MS = 50;            // relays told the same wait come back within it
+    private static final double CONN_BACK_MS = 5000;       // a learned connection limit is raised after this
     // Choice among waiting messages.
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
-    private static final double ROOM = 0.06;               // share of the open messages kept free for new ones
+    private static final double ROOM = 0.06;               // share of the open messages kept free
     // Others.
     private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
@@ -63,79 +58,58 @@
         Message m;
         MessageClass c;
         Dest dest;
-        double handedAt;      // when it was first handed in, by its deadline
-        int tries;
-        int pauses;
-        int timeouts;
-        double notBefore;
-        double doubtAt = Double.NaN; // first send that may have run
-        int doubtZone = -1;   // zone of that send, -1 if unknown
-        boolean out;          // an attempt is in flight
-        boolean over;
-        double rank;
+        int type, tries, pauses, timeouts;
+        double handedAt, notBefore, rank;   // first handed in, by its deadline; end of its pause; its turn
+        double doubtAt = Double.NaN;        // first send that may have run, NaN if none
+        int doubtZone = -1;                 // zone of that send, -1 if unknown
+        boolean out, over;                  // an attempt is in flight; the final answer is known
 
-        boolean inDoubt() {
-            return !Double.isNaN(doubtAt);
-        }
+        boolean inDoubt() { return !Double.isNaN(doubtAt); }
+
+        boolean ordered() { return c.inOrder() && m.key() != null; }
     }
 
     /** One call to an endpoint; it may carry several messages. */
     private static final class Call {
         Endpoint e;
         double sentAt;
-        int items;
-        int open;
-        boolean trial;
-        boolean judged;
+        int items, open;
+        boolean trial, judged;
     }
 
-    private static final class Attempt {
-        Msg m;
-        Call call;
-    }
+    private record Attempt(Msg m, Call call) { }
 
     /** What shares one limit: a destination, or one route where routes are apart. */
     private static final class Unit {
         final List<Endpoint> endpoints = new ArrayList<>();
-        double waitUntil = Double.NEGATIVE_INFINITY;
-        double limit;          // calls a second reported, 0 if none
-        double rate = Double.POSITIVE_INFINITY;
-        double tokens = 1;
+        double waitUntil = NEVER, okAt = NEVER, cutAt = NEVER;
+        double limit;                       // calls a second reported, 0 if none
+        double rate = FOREVER, tokens = 1;  // our pace, calls a second, and the calls that may go now
         double filledAt = Double.NaN;
-        double cutAt = Double.NEGATIVE_INFINITY;
-        double sentRate;       // our own calls a second, averaged
-        double sentRateAt;
-        double usualRate;      // our own delivered calls a second while healthy
-        double okAt = Double.NEGATIVE_INFINITY;
-        double fullSince = Double.NaN;
-        int fulls;
-        int failRun;
+        double sentRate, usualRate;         // our calls a second: sent; delivered while warm
+        double fullSince = Double.NaN;      // first of the refusals with no delivery between
+        int fulls, failRun;
     }
 
     private static final class Endpoint {
         String name;
         Dest dest;
         Unit unit;
-        int kind;
-        int zone;
+        Kind kind;
+        int zone, inflight, failRun, trials;
         double weight;
-        boolean active;
-        int inflight;
+        boolean active, down;
         final ArrayDeque<Double> idle = new ArrayDeque<>(); // when our idle connections were last used
-        int connCap = Integer.MAX_VALUE;
-        double connCapAt;
-        int failRun;
-        double okAt = Double.NEGATIVE_INFINITY;
-        double okSentAt = Double.NEGATIVE_INFINITY; // latest send known to have been answered
-        boolean down;
-        int trials;
-        double trialAt;
-        double coldSince = Double.NaN;  // when its return began, NaN if it is warm
-        double rampAt;
-        double slowness = 1;
+        int connCap = Integer.MAX_VALUE;                    // connections that it seems to take from us
+        double connCapAt, trialAt, rampAt;                  // cap learned; next trial; next call of a return
+        double okAt = NEVER, okSentAt = NEVER;              // last answer; latest send that was answered
+        double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
+        double slowness = 1;                                // recent durations over the usual ones
         final List<Call> calls = new ArrayList<>();
-        Call round;           // the call of this round that further messages may join
+        Call round;                                         // latest call, open to more messages at roundAt
         double roundAt = Double.NaN;
+
+        boolean cold() { return !Double.isNaN(coldSince); }
     }
 
     private static final class Dest {
@@ -143,12 +117,16 @@
         double[] usual;
         int[] seen;
         int inflight;
+
+        List<Endpoint> active() {
+            return endpoints.stream().filter(e -> e.active).toList();
+        }
     }
 
     private static final class Order {
         final ArrayDeque<Msg> queue = new ArrayDeque<>();
         int out;
-        double restUntil = Double.NEGATIVE_INFINITY;
+        double restUntil = NEVER;
     }
 
     private final Settings cfg;
@@ -162,9 +140,9 @@
     private final Map<String, Order> orders = new HashMap<>();
     private final double[] classUsual;
     private int slotsUsed;
-    private double wakeAt = Double.POSITIVE_INFINITY; // earliest wake-up asked for
+    private double wakeAt = FOREVER; // earliest wake-up asked for
     private double nextWake;                          // earliest that this round wants
-    private double askAt = Double.POSITIVE_INFINITY;
+    private double askAt = FOREVER;
     private int askFailures;
 
     /** One relay's decisions; the same events and seed give the same actions. */
@@ -173,7 +151,7 @@
         act = actions;
         random = new Random(seed);
         classUsual = new double[settings.classes().size()];
-        java.util.Arrays.fill(classUsual, DEFAULT_CALL_MS);
+        Arrays.fill(classUsual, DEFAULT_CALL_MS);
         if (cfg.askForList()) {
             act.watchList();
         }
@@ -181,8 +159,7 @@
 
     // ---- events ----
 
-    @Override
-    public void list(double now, News news, List<Entry> entries) {
+    @Override public void list(double now, News news, List<Entry> entries) {
         if (news == News.FAILED) {
             // A failure does not say whether a watch stands: ask again, long before askEvery has passed.
             double pause = Math.min(ASK_AGAIN_MS * Math.pow(2, Math.min(askFailures++, 3)),
@@ -206,11 +183,13 @@
     private Endpoint add(Entry en) {
         Endpoint e = new Endpoint();
         e.name = en.endpoint();
-        e.kind = en.kind();
+        int kinds = cfg.kinds().size();
+        e.kind = kinds == 0 ? new Kind(false, 1) : cfg.kinds().get(Math.min(en.kind(), kinds - 1));
         e.zone = en.zone();
         e.dest = dest(en.destination());
         e.dest.endpoints.add(e);
-        e.unit = kind(e).routesApart() ? new Unit() : shared.computeIfAbsent(en.destination(), k -> new Unit());
+        e.unit = e.kind.routesApart() ? new Unit()
+                : shared.computeIfAbsent(en.destination(), k -> new Unit());
         e.unit.endpoints.add(e);
         return e;
     }
@@ -224,16 +203,11 @@
         });
     }
 
-    private Kind kind(Endpoint e) {
-        return e.kind < cfg.kinds().size() ? cfg.kinds().get(e.kind)
-                : cfg.kinds().isEmpty() ? new Kind(false, 1) : cfg.kinds().get(cfg.kinds().size() - 1);
-    }
-
-    @Override
-    public void taken(double now, Message message) {
+    @Override public void taken(double now, Message message) {
         Msg m = new Msg();
         m.m = message;
-        m.c = cfg.classes().get(message.messageClass());
+        m.type = message.messageClass();
+        m.c = cfg.classes().get(m.type);
         m.dest = dest(message.destination());
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
         m.notBefore = now;
@@ -246,44 +220,36 @@
         }
     }
 
-    @Override
-    public void begun(double now, long id, int attempt) {
-        // A begun answer belongs to the client: no time-out and no further attempt of ours; nothing to decide.
-    }
+    @Override public void begun(double now, long id, int attempt) { } // the client has it now
 
-    @Override
-    public void withdrawn(double now, long id) {
+    @Override public void withdrawn(double now, long id) {
         Msg m = held.get(id);
         if (m != null) {
             end(m);
         }
     }
 
-    @Override
-    public void timer(double now) {
+    @Override public void timer(double now) {
         if (now >= wakeAt - 1e-6) {
-            wakeAt = Double.POSITIVE_INFINITY;
+            wakeAt = FOREVER;
         }
     }
 
-    @Override
-    public void ended(double now, Outcome o) {
+    @Override public void ended(double now, Outcome o) {
         Attempt a = attempts.remove(key(o.id(), o.attempt()));
-        if (a == null) {
-            return;
-        }
+        if (a == null) { return; }
         Msg m = a.m;
         Call c = a.call;
         Endpoint e = c.e;
         m.out = false;
-        boolean maybeRan = o.result() != Result.FULL && o.result() != Result.CONNECT_FAILED
-                && o.result() != Result.NOT_SENT;
+        Result how = o.result();
+        boolean maybeRan = how != Result.FULL && how != Result.CONNECT_FAILED && how != Result.NOT_SENT;
         if (--c.open == 0) {
             slotsUsed--;
             e.inflight--;
             e.dest.inflight--;
             e.calls.remove(c);
-            if (o.result() == Result.OK || o.result() == Result.ERROR || o.result() == Result.FULL) {
+            if (how == Result.OK || how == Result.ERROR || how == Result.FULL) {
                 e.idle.addLast(now);
             }
         }
@@ -291,18 +257,19 @@
             e.unit.limit = o.load().limitPerS();
         }
         if (o.waitMs() > 0) {
-            // A wait binds whichever message learned it, also where messages of one call are told different ones.
+            // A wait binds whichever message learned it: messages of one call are told different ones.
             // When it is over all relays come at once: a little chance spreads them.
-            e.unit.waitUntil = Math.max(e.unit.waitUntil, now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS);
+            double until = now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS;
+            e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
         if (!c.judged) {
             c.judged = true; // a shared call has one fate: count it once
             judge(now, o, c, m);
         }
-        Order order = m.c.inOrder() && m.m.key() != null ? orders.get(m.m.key()) : null;
+        Order order = m.ordered() ? orders.get(m.m.key()) : null;
         if (order != null) {
             order.out--;
-            if (o.result() == Result.TIMEOUT || o.result() == Result.RESET || o.result() == Result.CANCELLED) {
+            if (how == Result.TIMEOUT || how == Result.RESET || how == Result.CANCELLED) {
                 order.restUntil = Math.max(order.restUntil, now + cfg.rules().settleAfterDoubtMs());
             }
             forget(m, order);
@@ -310,9 +277,7 @@
         if (o.over()) {
             end(m);
         }
-        if (m.over) {
-            return;
-        }
+        if (m.over) { return; }
         if (maybeRan && !m.inDoubt()) {
             m.doubtAt = c.sentAt;
             m.doubtZone = e.zone;
@@ -322,7 +287,7 @@
         }
         double wait = Math.max(now, e.unit.waitUntil) - now;
         double pause = jittered(FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++));
-        double left = m.m.deadlineAt() - now - wait - usual(m.dest, m.m.messageClass());
+        double left = m.m.deadlineAt() - now - wait - usual(m.dest, m.type);
         m.notBefore = now + wait + Math.max(0, Math.min(pause, left / 2));
     }
 
@@ -332,13 +297,13 @@
         Unit u = e.unit;
         if (o.result() == Result.OK) {
             double took = o.tookMs() / (1 + EXTRA_ITEM * (c.items - 1));
-            double usual = usual(m.dest, m.m.messageClass());
+            double usual = usual(m.dest, m.type);
             e.slowness += LEARN_PACE * (took / usual - e.slowness);
             learn(m, Math.min(took, OUTLIER * usual));
             if (e.down) {
                 act.report("endpoint " + e.name + " answers again, ramping up");
             }
-            if (e.down || e.coldSince == Double.POSITIVE_INFINITY) {
+            if (e.down || e.coldSince == FOREVER) {
                 e.coldSince = now;
                 e.rampAt = now;
                 for (Endpoint other : u.endpoints) {
@@ -353,14 +318,12 @@
             u.failRun = 0;
             u.fulls = 0;
             u.fullSince = Double.NaN;
-            if (Double.isNaN(e.coldSince)) {
+            if (!e.cold()) {
                 u.usualRate += 1000.0 / RATE_SPAN_MS;
             }
             return;
         }
-        if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) {
-            return;
-        }
+        if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
         if (o.result() == Result.FULL) {
             full(now, o.waitMs(), e);
             if (!c.trial && (Double.isNaN(u.fullSince) || now - u.fullSince < FULL_OUTAGE_MS)
@@ -368,8 +331,8 @@
                 return;
             }
         }
-        if (o.result() == Result.CONNECT_FAILED && (e.inflight > 0 || now - e.okAt < FULL_OUTAGE_MS) && !e.down
-                && e.failRun < DOWN_AFTER - 1) {
+        boolean alive = e.inflight > 0 || now - e.okAt < FULL_OUTAGE_MS;
+        if (o.result() == Result.CONNECT_FAILED && alive && !e.down && e.failRun < DOWN_AFTER - 1) {
             // Few connections are taken there: stay under what we had, whatever took the rest of them.
             e.connCap = Math.max(1, e.inflight + e.idle.size());
             e.connCapAt = now;
@@ -379,15 +342,16 @@
         }
         e.failRun++;
         u.failRun++;
-        if (!Double.isNaN(e.coldSince)) {
-            e.coldSince = Double.POSITIVE_INFINITY;
+        if (e.cold()) {
+            e.coldSince = FOREVER;
         }
-        if (c.trial || e.down || e.failRun >= DOWN_AFTER || u.failRun >= DOWN_AFTER && now - u.okAt > LEAST_STALL_MS) {
+        boolean unitFails = u.failRun >= DOWN_AFTER && now - u.okAt > LEAST_STALL_MS;
+        if (c.trial || e.down || e.failRun >= DOWN_AFTER || unitFails) {
             if (!e.down) {
                 act.report("endpoint " + e.name + " held to be sick after " + o.result());
             }
             e.down = true;
-            e.coldSince = Double.POSITIVE_INFINITY;
+            e.coldSince = FOREVER;
             double pause = Math.min(MOST_TRIAL_MS, FIRST_TRIAL_MS * Math.pow(PAUSE_GROWTH, e.trials++));
             e.trialAt = Math.max(u.waitUntil, now) + jittered(pause);
         }
@@ -418,15 +382,9 @@
 
     /** Calls a second that the unit takes from all relays as far as it is told, 0 if not. */
     private double known(Unit u) {
-        if (u.limit > 0) {
-            return u.limit;
-        }
-        return weight(u) / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
-    }
-
-    private double weight(Unit u) {
-        return cfg.weight() == Weight.NONE || u.endpoints.isEmpty() ? 0
-                : u.endpoints.get(u.endpoints.size() - 1).weight;
+        if (u.limit > 0) { return u.limit; }
+        double weight = cfg.weight() == Weight.NONE ? 0 : u.endpoints.get(u.endpoints.size() - 1).weight;
+        return weight / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
     }
 
     private void refill(double now, Unit u) {
@@ -438,26 +396,23 @@
         double keep = Math.exp(-dt / RATE_SPAN_MS);
         u.sentRate *= keep;
         u.usualRate *= keep;
-        if (u.rate < Double.POSITIVE_INFINITY) {
+        if (u.rate < FOREVER) {
             u.rate += GROW * Math.max(known(u) / cfg.group(), LEAST_RATE) * dt / 1000;
         }
         if (u.limit > 0) {
             u.rate = Math.min(u.rate, u.limit);
         }
-        u.tokens = u.rate == Double.POSITIVE_INFINITY ? 1
+        u.tokens = u.rate == FOREVER ? 1
                 : Math.min(Math.max(1, u.rate * BURST_MS / 1000), u.tokens + u.rate * dt / 1000);
     }
 
     /** Calls a second that we may send to a returning endpoint: our part of its budget at this moment. */
     private double rampRate(double now, Endpoint e) {
-        double since = e.coldSince == Double.POSITIVE_INFINITY ? 0 : now - e.coldSince;
+        double since = e.coldSince == FOREVER ? 0 : now - e.coldSince;
         double s = cfg.rules().startCapacity();
         double share = Math.min(1, s + (1 - s) * since / Math.max(1, cfg.rules().warmAfterMs()));
         Unit u = e.unit;
-        int n = 0;
-        for (Endpoint x : u.endpoints) {
-            n += x.active ? 1 : 0;
-        }
+        long n = u.endpoints.stream().filter(x -> x.active).count();
         double ours = known(u) > 0 ? known(u) / cfg.group() : Math.max(LEAST_RATE, u.usualRate);
         return RAMP_SHARE * Math.max(1, cfg.rules().fallMultiple()) * share * ours / Math.max(1, n);
     }
@@ -467,7 +422,7 @@
     }
 
     private void learn(Msg m, double took) {
-        int k = m.m.messageClass();
+        int k = m.type;
         Dest d = m.dest;
         double w = Math.max(LEARN, 1.0 / (d.seen[k] + 2));
         d.usual[k] = usual(d, k) + w * (took - usual(d, k));
@@ -477,19 +432,16 @@
 
     // ---- the round ----
 
-    @Override
-    public void decide(double now) {
-        nextWake = Double.POSITIVE_INFINITY;
+    @Override public void decide(double now) {
+        nextWake = FOREVER;
         if (askAt <= now) {
-            askAt = Double.POSITIVE_INFINITY;
+            askAt = FOREVER;
             act.watchList();
         }
         wake(askAt);
         List<Msg> ready = new ArrayList<>();
         for (Msg m : new ArrayList<>(held.values())) {
-            if (m.out || drop(now, m)) {
-                continue;
-            }
+            if (m.out || drop(now, m)) { continue; }
             if (m.notBefore > now) {
                 wake(m.notBefore);
             } else if (inTurn(now, m)) {
@@ -506,26 +458,20 @@
                 trySend(now, m);
             }
         }
-        if (nextWake < wakeAt - 1e-6 && nextWake < Double.POSITIVE_INFINITY) {
+        if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
             double in = Math.max(TICK_MS / 2, nextWake - now);
             wakeAt = now + in;
             act.wake(in);
         }
     }
 
-    private void wake(double at) {
-        nextWake = Math.min(nextWake, at);
-    }
+    private void wake(double at) { nextWake = Math.min(nextWake, at); }
 
     /** Order per key: a message goes only when all taken before it with its key are over and at rest. */
     private boolean inTurn(double now, Msg m) {
-        if (!m.c.inOrder() || m.m.key() == null) {
-            return true;
-        }
+        if (!m.ordered()) { return true; }
         Order order = orders.get(m.m.key());
-        if (order.queue.peekFirst() != m || order.out > 0) {
-            return false;
-        }
+        if (order.queue.peekFirst() != m || order.out > 0) { return false; }
         if (m.tries == 0 && order.restUntil > now) {
             wake(order.restUntil);
             return false;
@@ -535,7 +481,7 @@
 
     /** Gives the final answer at once where no further attempt can be made or can land in time. */
     private boolean drop(double now, Msg m) {
-        double usual = usual(m.dest, m.m.messageClass());
+        double usual = usual(m.dest, m.type);
         double last = m.m.deadlineAt() - usual;
         boolean spent = cfg.limits().maxAttempts() > 0 && m.tries >= cfg.limits().maxAttempts();
         if (m.inDoubt()) {
@@ -546,14 +492,8 @@
                 spent |= m.c.scope() == Scope.ZONE && m.doubtZone < 0 && severalZones(m.dest);
             }
         }
-        double soonest = now;
-        if (!m.dest.endpoints.isEmpty()) {
-            double opens = Double.POSITIVE_INFINITY;
-            for (Endpoint e : m.dest.endpoints) {
-                opens = e.active ? Math.min(opens, e.unit.waitUntil) : opens;
-            }
-            soonest = opens == Double.POSITIVE_INFINITY ? now : Math.max(now, opens);
-        }
+        double opens = m.dest.active().stream().mapToDouble(e -> e.unit.waitUntil).min().orElse(now);
+        double soonest = Math.max(now, opens);
         if (!spent && soonest <= last) {
             wake(last + 1);
             return false;
@@ -563,18 +503,14 @@
     }
 
     private static boolean severalZones(Dest d) {
-        for (Endpoint e : d.endpoints) {
-            if (e.zone != d.endpoints.get(0).zone) {
-                return true;
-            }
-        }
-        return d.endpoints.isEmpty();
+        return d.endpoints.stream().mapToInt(e -> e.zone).distinct().count() != 1;
     }
 
     /** Final answer: refused only if no attempt can have run, given up otherwise. */
     private void answer(Msg m, double comeBackMs) {
         if (!m.inDoubt()) {
-            act.refuse(m.m.id(), cfg.limits().retryAfter() ? Math.min(comeBackMs, cfg.limits().maxRetryAfterMs()) : 0);
+            double after = Math.min(comeBackMs, cfg.limits().maxRetryAfterMs());
+            act.refuse(m.m.id(), cfg.limits().retryAfter() ? after : 0);
         } else {
             act.giveUp(m.m.id());
         }
@@ -584,7 +520,7 @@
     private void end(Msg m) {
         m.over = true;
         held.remove(m.m.id());
-        if (m.c.inOrder() && m.m.key() != null) {
+        if (m.ordered()) {
             Order order = orders.get(m.m.key());
             if (order != null) {
                 order.queue.remove(m);
@@ -602,102 +538,66 @@
     /** Keeps room for new messages: what is least likely to earn goes first, not what comes next. */
     private void makeRoom(double now) {
         int most = cfg.limits().maxOpen();
-        if (most <= 0) {
-            return;
-        }
+        if (most <= 0) { return; }
         int allowed = most - Math.max(1, (int) (most * ROOM));
         while (held.size() > allowed) {
-            Msg worst = null;
-            double least = Double.POSITIVE_INFINITY;
-            for (Msg m : held.values()) {
-                double hope = m.out ? Double.POSITIVE_INFINITY : hope(now, m);
-                if (hope < least) {
-                    least = hope;
-                    worst = m;
-                }
-            }
-            if (worst == null) {
-                return;
-            }
-            answer(worst, MOST_TRIAL_MS);
+            Optional<Msg> worst = held.values().stream().filter(m -> !m.out)
+                    .min(Comparator.comparingDouble(m -> hope(now, m)));
+            if (worst.isEmpty()) { return; }
+            answer(worst.get(), MOST_TRIAL_MS);
         }
     }
 
     /** Worth still to be won by a waiting message: less where its destination is sick. */
     private double hope(double now, Msg m) {
-        double best = Double.POSITIVE_INFINITY;
-        for (Endpoint e : m.dest.endpoints) {
-            if (e.active) {
-                double delay = Math.max(0, e.unit.waitUntil - now)
-                        + (e.down ? MOST_TRIAL_MS * 2 : 0) + (e.slowness > SLOW ? MOST_TRIAL_MS : 0);
-                best = Math.min(best, delay);
-            }
-        }
-        return best == Double.POSITIVE_INFINITY ? 0 : worth(m, now + best + usual(m.dest, m.m.messageClass()));
+        double delay = m.dest.active().stream().mapToDouble(e -> Math.max(0, e.unit.waitUntil - now)
+                + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0)).min().orElse(FOREVER);
+        return delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
     }
 
     private double worth(Msg m, double at) {
         double age = at - m.handedAt;
         MessageClass c = m.c;
         double aim = Math.min(c.deadlineMs(), c.aimMs() + c.aimStretch() * m.m.workMs());
-        if (age <= aim) {
-            return c.worth();
-        }
-        if (at > m.m.deadlineAt()) {
-            return 0;
-        }
+        if (age <= aim) { return c.worth(); }
+        if (at > m.m.deadlineAt()) { return 0; }
         double late = age - aim;
-        double left = cfg.late() == LateCurve.HALVING ? Math.max(c.lateWorth(), Math.pow(0.5, late / Math.max(1, aim)))
+        double left = cfg.late() == LateCurve.HALVING
+                ? Math.max(c.lateWorth(), Math.pow(0.5, late / Math.max(1, aim)))
                 : 1 - (1 - c.lateWorth()) * late / Math.max(1, c.deadlineMs() - aim);
         return c.worth() * left;
     }
 
     /** Worth lost by waiting, for each moment of slot time; a little for worth that waiting does not lose. */
     private double rank(double now, Msg m) {
-        double slow = Double.POSITIVE_INFINITY;
-        for (Endpoint e : m.dest.endpoints) {
-            slow = Math.min(slow, e.active ? Math.max(1, e.slowness) : slow);
-        }
-        double d = usual(m.dest, m.m.messageClass()) * (slow == Double.POSITIVE_INFINITY ? 1 : slow);
+        double slow = m.dest.active().stream().mapToDouble(e -> e.slowness).min().orElse(1);
+        double d = usual(m.dest, m.type) * Math.max(1, slow);
         double soon = worth(m, now + d);
         return (soon - worth(m, now + d + LOOKAHEAD_MS) + BASE_WORTH * soon) / d;
     }
 
     // ---- sending ----
 
-    private boolean sick(Dest d) {
-        boolean any = false;
-        for (Endpoint e : d.endpoints) {
-            if (e.active) {
-                any = true;
-                if (!e.down && e.slowness < SLOW) {
-                    return false;
-                }
-            }
-        }
-        return any;
+    private static boolean sick(Dest d) {
+        List<Endpoint> all = d.active();
+        return !all.isEmpty() && all.stream().allMatch(e -> e.down || e.slowness >= SLOW);
     }
 
     private int sickSlots() {
-        int used = 0;
-        for (Dest d : dests.values()) {
-            used += d.inflight > 0 && sick(d) ? d.inflight : 0;
-        }
-        return used;
+        return dests.values().stream().filter(d -> d.inflight > 0 && sick(d)).mapToInt(d -> d.inflight).sum();
     }
 
     private boolean slotFor(Dest d) {
         int slots = cfg.limits().slots();
-        if (slots <= 0) {
-            return true;
-        }
+        if (slots <= 0) { return true; }
         int half = Math.max(1, (int) (slots * SICK_CAP));
-        return slotsUsed < slots && (sick(d) ? sickSlots() < half : d.inflight < Math.max(1, (int) (slots * CAP)));
+        int most = Math.max(1, (int) (slots * CAP));
+        return slotsUsed < slots && (sick(d) ? sickSlots() < half : d.inflight < most);
     }
 
     private void trySend(double now, Msg m) {
         Endpoint best = null;
-        double least = Double.POSITIVE_INFINITY;
+        double least = FOREVER;
         boolean slot = slotFor(m.dest);
         for (Endpoint e : m.dest.endpoints) {
             if (!e.active || m.inDoubt() && m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ZONE
@@ -705,9 +605,7 @@
                 continue;
             }
             boolean joins = joins(now, e);
-            if (!joins && (!slot || !open(now, e))) {
-                continue;
-            }
+            if (!joins && (!slot || !open(now, e))) { continue; }
             double cost = (e.inflight + 1.0) * Math.max(0.5, e.slowness) * (joins ? 0.5 : 1)
                     + (e.zone == cfg.zone() ? 0 : 0.5) + (hasIdle(now, e) ? 0 : 0.3)
                     + (e.down ? 100 : 0);
@@ -722,7 +620,7 @@
     }
 
     private boolean joins(double now, Endpoint e) {
-        return e.round != null && e.roundAt == now && !e.round.trial && e.round.items < kind(e).bundleMax();
+        return e.round != null && e.roundAt == now && !e.round.trial && e.round.items < e.kind.bundleMax();
     }
 
     private boolean hasIdle(double now, Endpoint e) {
@@ -740,13 +638,8 @@
             return false;
         }
         if (e.down) {
-            if (e.inflight > 0) {
-                return false;
-            }
-            for (Endpoint x : u.endpoints) {
-                if (x.down && x.inflight > 0) {
-                    return false; // one trial at a time
-                }
+            if (u.endpoints.stream().anyMatch(x -> x.down && x.inflight > 0)) {
+                return false; // one trial at a time
             }
             if (e.trialAt > now) {
                 wake(e.trialAt);
@@ -754,8 +647,8 @@
             }
             return true;
         }
-        if (!Double.isNaN(e.coldSince)) {
-            if (e.coldSince < Double.POSITIVE_INFINITY && now - e.coldSince > cfg.rules().warmAfterMs()) {
+        if (e.cold()) {
+            if (e.coldSince < FOREVER && now - e.coldSince > cfg.rules().warmAfterMs()) {
                 act.report("endpoint " + e.name + " held to be warm");
                 e.coldSince = Double.NaN;
                 e.trials = 0;
@@ -764,17 +657,13 @@
                 return false;
             }
         }
-        if (stalled(now, e)) {
-            return false;
-        }
+        if (stalled(now, e)) { return false; }
         if (e.connCap != Integer.MAX_VALUE && !hasIdle(now, e)) {
             if (now - e.connCapAt > CONN_BACK_MS) {
                 e.connCap++;
                 e.connCapAt = now;
             }
-            if (e.inflight >= e.connCap) {
-                return false;
-            }
+            if (e.inflight >= e.connCap) { return false; }
         }
         refill(now, u);
         if (u.tokens < 1) {
@@ -786,9 +675,7 @@
 
     /** Calls out and none answered for long: whatever the cause, more calls would only fill our slots. */
     private boolean stalled(double now, Endpoint e) {
-        if (e.calls.isEmpty()) {
-            return false;
-        }
+        if (e.calls.isEmpty()) { return false; }
         Call oldest = e.calls.get(0);
         double usual = 0;
         for (int k = 0; k < classUsual.length; k++) {
@@ -823,23 +710,20 @@
         }
         c.items++;
         c.open++;
-        if (!Double.isNaN(e.coldSince)) {
+        if (e.cold()) {
             double weight = c.items == 1 ? 1 : EXTRA_ITEM;
             e.rampAt = Math.max(now, e.rampAt) + weight * 1000 / rampRate(now, e);
         }
-        Attempt a = new Attempt();
-        a.m = m;
-        a.call = c;
-        attempts.put(key(m.m.id(), m.tries++), a);
+        attempts.put(key(m.m.id(), m.tries++), new Attempt(m, c));
         m.out = true;
-        if (m.c.inOrder() && m.m.key() != null) {
+        if (m.ordered()) {
             orders.get(m.m.key()).out++;
         }
         act.send(m.m.id(), e.name, timeout(now, m, e, c));
     }
 
     private double timeout(double now, Msg m, Endpoint e, Call c) {
-        double usual = usual(m.dest, m.m.messageClass()) * (1 + EXTRA_ITEM * (c.items - 1));
+        double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (c.items - 1));
         double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
                 * Math.pow(PAUSE_GROWTH, m.timeouts);
         if (m.c.effect() == Effect.KEYED) {
@@ -848,11 +732,7 @@
         return Math.max(1, Math.min(patience, m.m.deadlineAt() - now));
     }
 
-    private double jittered(double ms) {
-        return ms * (1 - JITTER + 2 * JITTER * random.nextDouble());
-    }
+    private double jittered(double ms) { return ms * (1 - JITTER + 2 * JITTER * random.nextDouble()); }
 
-    private static long key(long id, int attempt) {
-        return id << 20 | attempt;
-    }
+    private static long key(long id, int attempt) { return id << 20 | attempt; }
 }
