--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -346,15 +346,15 @@
             e.coldSince = FOREVER;
         }
         boolean unitFails = u.failRun >= DOWN_AFTER && now - u.okAt > LEAST_STALL_MS;
-        if (c.trial || e.down || e.failRun >= DOWN_AFTER || unitFails) {
-            if (!e.down) {
-                act.report("endpoint " + e.name + " held to be sick after " + o.result());
-            }
+        if (!e.down && (e.failRun >= DOWN_AFTER || unitFails)) {
+            act.report("endpoint " + e.name + " held to be sick after " + o.result());
             e.down = true;
             e.coldSince = FOREVER;
-            double pause = Math.min(MOST_TRIAL_MS, FIRST_TRIAL_MS * Math.pow(PAUSE_GROWTH, e.trials++));
-            e.trialAt = Math.max(u.waitUntil, now) + jittered(pause);
+        } else if (!c.trial) {
+            return; // one of many calls that were out when it fell: no reason for longer pauses
         }
+        double pause = Math.min(MOST_TRIAL_MS, FIRST_TRIAL_MS * Math.pow(PAUSE_GROWTH, e.trials++));
+        e.trialAt = Math.max(u.waitUntil, now) + jittered(pause);
     }
 
     /** A refusal: keep a told wait, take an own one otherwise, and slow down where it may be a limit. */
--- /dev/null
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -0,0 +1,195 @@
+package firstair.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstair.control.Bench.Sent;
+import firstair.control.Controller.Kind;
+import firstair.control.Controller.News;
+import firstair.control.Controller.Result;
+import firstair.control.Controller.Settings;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** The design's ordinary path and the guards added to it. */
+class MechanismTest {
+
+    @Test
+    void pausesBeginNearTheFirstAndGrow() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a", "1/0/b", "1/0/c");
+        b.take(0, 1);
+        b.decide();
+        b.run(1_400, Result.ERROR, 5);
+        double first = b.sent.get(1).at() - b.sent.get(0).at();
+        double second = b.sent.get(2).at() - b.sent.get(1).at();
+        assertThat(first).isBetween(150.0, 265.0);
+        assertThat(second).isGreaterThan(first);
+    }
+
+    @Test
+    void pausesVaryWithTheSeed() {
+        double[] at = new double[2];
+        for (int i = 0; i < 2; i++) {
+            Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a", "2/0/b", "3/0/c", "4/0/d");
+            for (int dest = 1; dest <= 4; dest++) {
+                b.take(0, dest);
+            }
+            b.decide();
+            b.endAll(Result.ERROR, 0);
+            b.run(400, Result.OK, 1_000);
+            List<Double> second = b.sent.subList(4, 8).stream().map(Sent::at).toList();
+            assertThat(second.stream().distinct().count()).isGreaterThan(2);
+            at[i] = second.stream().reduce(0.0, (sum, x) -> sum * 10 + x);
+        }
+        assertThat(at[0]).as("the same seed gives the same pauses").isEqualTo(at[1]);
+    }
+
+    @Test
+    void noTryStartsWhenLessTimeIsLeftThanACallUsuallyTakes() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a");
+        long id = b.take(0, 1, null, 200, false);
+        b.decide();
+        assertThat(b.sent).isEmpty();
+        assertThat(b.refused).containsExactly(id);
+    }
+
+    @Test
+    void oneDestinationHoldsAtMostThreeQuartersOfTheSlots() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 1), 9, Bench.SAFE)).endpoints("1/0/a", "1/0/b");
+        for (int i = 0; i < 30; i++) {
+            b.take(0, 1);
+        }
+        b.decide();
+        assertThat(b.out).hasSize(6);
+    }
+
+    @Test
+    void aSilentDestinationLeavesSlotsToTheOthers() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 1), 8, Bench.SAFE))
+                .endpoints("1/0/a", "2/0/b", "3/0/c");
+        b.control.decide(b.now);
+        for (int round = 0; round < 40; round++) {
+            b.take(0, 1);
+            b.take(0, 2);
+            b.silence(100);
+        }
+        b.take(0, 3);
+        b.decide();
+        assertThat(b.sent).filteredOn(s -> s.endpoint().startsWith("3")).hasSize(1);
+        assertThat(b.out.stream().filter(s -> !s.endpoint().startsWith("3")).count()).isLessThanOrEqualTo(4);
+    }
+
+    @Test
+    void sendsOfOneRoundShareACallAndASlot() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 3), 4, Bench.SAFE)).endpoints("1/0/a");
+        for (int i = 0; i < 30; i++) {
+            b.take(0, 1);
+        }
+        b.decide();
+        assertThat(b.out).as("three calls of three messages").hasSize(9);
+    }
+
+    @Test
+    void aRefusalWithoutPossibleEffectTellsWhenToComeBack() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a");
+        b.take(0, 1, null, 2_000, false);
+        b.decide();
+        b.endAll(Result.FULL, 30_000);
+        b.decide();
+        assertThat(b.refused).hasSize(1);
+        assertThat(b.refusedAfter.get(0)).isEqualTo(3_000);
+    }
+
+    @Test
+    void aMessageThatCanNotLandIsAnsweredAtOnce() {
+        Bench b = new Bench(Bench.settings(Bench.KEYED)).endpoints("1/0/a");
+        b.take(0, 1);
+        b.take(0, 1);
+        b.decide();
+        b.end(b.out.get(0), Result.ERROR, 0);
+        b.end(b.out.get(0), Result.FULL, 20_000);
+        b.decide();
+        assertThat(b.givenUp).containsExactly(1L);
+        assertThat(b.refused).containsExactly(2L);
+    }
+
+    /** Incident on sapporo-main: clients that give less time than the class has are not clients that come again. */
+    @Test
+    void aShortDeadlineIsNotAHistory() {
+        Bench b = new Bench(Bench.settings(Bench.KEYED)).endpoints("1/0/a");
+        b.take(0, 1, null, 4_000, false);
+        b.decide();
+        assertThat(b.sent).hasSize(1);
+    }
+
+    @Test
+    void aFailedCallOfDiscoveryIsRepeatedWellBeforeTheListCountsAsTold() {
+        Settings s = Bench.settings(Bench.SAFE);
+        Bench b = new Bench(new Settings(s.group(), 0, 0, true, s.weight(), s.late(), s.classes(), s.kinds(),
+                s.limits(), s.rules()));
+        assertThat(b.watches).isEqualTo(1);
+        for (int i = 0; i < 10; i++) {
+            int before = b.watches;
+            b.control.list(b.now, News.FAILED, List.of());
+            b.decide();
+            b.silence(s.rules().askEveryMs() / 4);
+            assertThat(b.watches).isEqualTo(before + 1);
+        }
+    }
+
+    @Test
+    void roomIsKeptForMessagesOfHealthyDestinations() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 1), 4, Bench.SAFE)).endpoints("1/0/a", "2/0/b");
+        for (int i = 0; i < 10; i++) {
+            b.take(0, 1);
+        }
+        b.decide();
+        b.run(3_000, Result.RESET, 10);
+        b.refused.clear();
+        b.givenUp.clear();
+        for (int i = 0; i < 95; i++) {
+            b.take(0, i % 2 == 0 ? 1 : 2);
+        }
+        b.decide();
+        List<Long> answered = b.refused.stream().filter(id -> id > 10).toList();
+        assertThat(b.refused.size() + b.givenUp.size()).isGreaterThan(4);
+        assertThat(answered).as("the sick destination's go first").allMatch(id -> id % 2 == 1);
+    }
+
+    @Test
+    void silenceStopsFurtherCalls() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 1), 40, Bench.SAFE)).endpoints("1/0/a");
+        for (int i = 0; i < 60; i++) {
+            b.take(0, 1);
+            b.silence(50);
+        }
+        assertThat(b.sent.size()).isLessThan(45);
+        assertThat(b.out.size()).isLessThan(30);
+    }
+
+    @Test
+    void theSameEventsAndSeedGiveTheSameActions() {
+        List<String> runs = new java.util.ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            Bench b = new Bench(Bench.settings(Bench.SAFE, Bench.KEYED)).endpoints("1/0/a", "1/1/b", "2/0/c");
+            for (int k = 0; k < 40; k++) {
+                b.take(k % 2, 1 + k % 2);
+                b.run(40, k % 5 == 0 ? Result.RESET : Result.OK, 60);
+            }
+            runs.add(b.sent.stream().map(Sent::toString).collect(Collectors.joining("\n")));
+        }
+        assertThat(runs.get(0)).isEqualTo(runs.get(1)).isNotEmpty();
+    }
+
+    @Test
+    void sickAndRecoveredAreReported() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a");
+        for (int i = 0; i < 20; i++) {
+            b.take(0, 1);
+        }
+        b.decide();
+        b.endAll(Result.RESET, 0);
+        b.run(1_500, Result.OK, 20);
+        assertThat(b.reports).anyMatch(r -> r.contains("sick")).anyMatch(r -> r.contains("ramping up"));
+    }
+}
