Let time-outs grow only while the endpoint fails

Guards against any loss that has nothing to do with the destination's pace. Harm: a slow destination that now and then answers is given shorter time-outs.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -282,9 +282,7 @@
             m.doubtAt = c.sentAt;
             m.doubtZone = e.zone;
         }
-        if (o.result() == Result.TIMEOUT) {
-            m.timeouts++;
-        }
+        if (how == Result.TIMEOUT) { m.timeouts++; }
         double wait = Math.max(now, e.unit.waitUntil) - now;
         double pause = jittered(FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++));
         double left = m.m.deadlineAt() - now - wait - usual(m.dest, m.type);
@@ -342,9 +340,7 @@
         }
         e.failRun++;
         u.failRun++;
-        if (e.cold()) {
-            e.coldSince = FOREVER;
-        }
+        if (e.cold()) { e.coldSince = FOREVER; }
         boolean unitFails = u.failRun >= DOWN_AFTER && now - u.okAt > LEAST_STALL_MS;
         if (!e.down && (e.failRun >= DOWN_AFTER || unitFails)) {
             act.report("endpoint " + e.name + " held to be sick after " + o.result());
@@ -675,15 +671,13 @@
 
     /** Calls out and none answered for long: whatever the cause, more calls would only fill our slots. */
     private boolean stalled(double now, Endpoint e) {
-        if (e.calls.isEmpty()) { return false; }
-        Call oldest = e.calls.get(0);
         double usual = 0;
         for (int k = 0; k < classUsual.length; k++) {
             usual = Math.max(usual, usual(e.dest, k));
         }
-        double patience = Math.max(LEAST_STALL_MS, STALL_CALLS * usual * Math.max(1, e.slowness)
-                * (1 + EXTRA_ITEM * (oldest.items - 1)));
-        return now - Math.max(oldest.sentAt, e.okAt) > patience;
+        double patience = Math.max(LEAST_STALL_MS, STALL_CALLS * usual * Math.max(1, e.slowness));
+        return now - e.okAt > patience && e.calls.stream().anyMatch(c -> now - c.sentAt > patience
+                * (1 + EXTRA_ITEM * (c.items - 1)));
     }
 
     private void send(double now, Msg m, Endpoint e) {
@@ -725,7 +719,7 @@
     private double timeout(double now, Msg m, Endpoint e, Call c) {
         double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (c.items - 1));
         double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
-                * Math.pow(PAUSE_GROWTH, m.timeouts);
+                * Math.pow(PAUSE_GROWTH, Math.min(m.timeouts, e.failRun));
         if (m.c.effect() == Effect.KEYED) {
             patience = Math.min(patience, Math.max(WINDOW_SHARE * m.c.windowMs(), OUTLIER * usual));
         }
