Keep to our part of a limit where calls can be shared and many are refused

Guards against any crowd at a limit. Harm: one relay alone with much traffic keeps to its part for a while.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -41,6 +41,8 @@
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
+    private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
+    private static final double MANY_REFUSED = 0.1;        // share of refused calls from which that holds
     private static final double BURST_MS = 400;            // so much of the rate may go at once
     private static final double UNTOLD_WAIT_MS = 250;      // own pause where a refusal tells no wait
     private static final double MOST_UNTOLD_MS = 2000;     // its longest
@@ -87,6 +89,7 @@
         double rate = FOREVER, tokens = 1;  // our pace, calls a second, and the calls that may go now
         double filledAt = Double.NaN;
         double sentRate, usualRate;         // our calls a second: sent; delivered while warm
+        double refusedShare;                // of our recent calls
         double fullSince = Double.NaN;      // first of the refusals with no delivery between
         int fulls, failRun;
     }
@@ -293,6 +296,7 @@
     private void judge(double now, Outcome o, Call c, Msg m) {
         Endpoint e = c.e;
         Unit u = e.unit;
+        u.refusedShare += LEARN * ((o.result() == Result.FULL ? 1 : 0) - u.refusedShare);
         if (o.result() == Result.OK) {
             double took = o.tookMs() / (1 + EXTRA_ITEM * (c.items - 1));
             double usual = usual(m.dest, m.type);
@@ -396,7 +400,9 @@
             u.rate += GROW * Math.max(known(u) / cfg.group(), LEAST_RATE) * dt / 1000;
         }
         if (u.limit > 0) {
-            u.rate = Math.min(u.rate, u.limit);
+            // Where calls can be shared and many are refused, our part is enough: what waits travels together.
+            boolean shares = u.refusedShare > MANY_REFUSED && u.endpoints.get(0).kind.bundleMax() > 1;
+            u.rate = Math.min(u.rate, shares ? SHARED_PART * u.limit / cfg.group() : u.limit);
         }
         u.tokens = u.rate == FOREVER ? 1
                 : Math.min(Math.max(1, u.rate * BURST_MS / 1000), u.tokens + u.rate * dt / 1000);
