--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -52,7 +52,6 @@
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
     private static final double ROOM = 0.06;               // share of the open messages kept free
-    // Others.
     private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
 
@@ -88,7 +87,7 @@
         double limit;                       // calls a second reported, 0 if none
         double rate = FOREVER, tokens = 1;  // our pace, calls a second, and the calls that may go now
         double filledAt = Double.NaN;
-        double sentRate, usualRate;         // our calls a second: sent; delivered while warm
+        double sentRate;                    // our calls a second
         double refusedShare;                // of our recent calls
         double fullSince = Double.NaN;      // first of the refusals with no delivery between
         int fulls, failRun;
@@ -155,9 +154,7 @@
         random = new Random(seed);
         classUsual = new double[settings.classes().size()];
         Arrays.fill(classUsual, DEFAULT_CALL_MS);
-        if (cfg.askForList()) {
-            act.watchList();
-        }
+        if (cfg.askForList()) { act.watchList(); }
     }
 
     // ---- events ----
@@ -170,12 +167,8 @@
             askAt = now + jittered(pause);
             return;
         }
-        if (news != News.STORED) {
-            askFailures = 0;
-        }
-        if (news != News.CHANGES) {
-            endpoints.values().forEach(e -> e.active = false);
-        }
+        if (news != News.STORED) { askFailures = 0; }
+        if (news != News.CHANGES) { endpoints.values().forEach(e -> e.active = false); }
         for (Entry en : entries) {
             Endpoint e = endpoints.computeIfAbsent(en.endpoint(), k -> add(en));
             e.active = en.listing() == Listing.ACTIVE;
@@ -227,15 +220,11 @@
 
     @Override public void withdrawn(double now, long id) {
         Msg m = held.get(id);
-        if (m != null) {
-            end(m);
-        }
+        if (m != null) { end(m); }
     }
 
     @Override public void timer(double now) {
-        if (now >= wakeAt - 1e-6) {
-            wakeAt = FOREVER;
-        }
+        if (now >= wakeAt - 1e-6) { wakeAt = FOREVER; }
     }
 
     @Override public void ended(double now, Outcome o) {
@@ -256,9 +245,7 @@
                 e.idle.addLast(now);
             }
         }
-        if (!Double.isNaN(o.load().limitPerS())) {
-            e.unit.limit = o.load().limitPerS();
-        }
+        if (!Double.isNaN(o.load().limitPerS())) { e.unit.limit = o.load().limitPerS(); }
         if (o.waitMs() > 0) {
             // A wait binds whichever message learned it: messages of one call are told different ones.
             // When it is over all relays come at once: a little chance spreads them.
@@ -277,9 +264,7 @@
             }
             forget(m, order);
         }
-        if (o.over()) {
-            end(m);
-        }
+        if (o.over()) { end(m); }
         if (m.over) { return; }
         if (maybeRan && !m.inDoubt()) {
             m.doubtAt = c.sentAt;
@@ -320,9 +305,6 @@
             u.failRun = 0;
             u.fulls = 0;
             u.fullSince = Double.NaN;
-            if (!e.cold()) {
-                u.usualRate += 1000.0 / RATE_SPAN_MS;
-            }
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
@@ -361,9 +343,7 @@
     private void full(double now, double waitMs, Endpoint e) {
         Unit u = e.unit;
         u.fulls++;
-        if (Double.isNaN(u.fullSince)) {
-            u.fullSince = now;
-        }
+        if (Double.isNaN(u.fullSince)) { u.fullSince = now; }
         if (waitMs <= 0) {
             double own = Math.min(MOST_UNTOLD_MS, UNTOLD_WAIT_MS * Math.pow(PAUSE_GROWTH, u.fulls - 1));
             u.waitUntil = Math.max(u.waitUntil, now + jittered(own));
@@ -388,14 +368,10 @@
     }
 
     private void refill(double now, Unit u) {
-        if (Double.isNaN(u.filledAt)) {
-            u.filledAt = now;
-        }
+        if (Double.isNaN(u.filledAt)) { u.filledAt = now; }
         double dt = now - u.filledAt;
         u.filledAt = now;
-        double keep = Math.exp(-dt / RATE_SPAN_MS);
-        u.sentRate *= keep;
-        u.usualRate *= keep;
+        u.sentRate *= Math.exp(-dt / RATE_SPAN_MS);
         if (u.rate < FOREVER) {
             u.rate += GROW * Math.max(known(u) / cfg.group(), LEAST_RATE) * dt / 1000;
         }
@@ -415,7 +391,7 @@
         double share = Math.min(1, s + (1 - s) * since / Math.max(1, cfg.rules().warmAfterMs()));
         Unit u = e.unit;
         long n = u.endpoints.stream().filter(x -> x.active).count();
-        double ours = known(u) > 0 ? known(u) / cfg.group() : Math.max(LEAST_RATE, u.usualRate);
+        double ours = known(u) > 0 ? known(u) / cfg.group() : LEAST_RATE;
         return RAMP_SHARE * Math.max(1, cfg.rules().fallMultiple()) * share * ours / Math.max(1, n);
     }
 
@@ -456,9 +432,7 @@
         }
         ready.sort(Comparator.comparingDouble((Msg m) -> -m.rank));
         for (Msg m : ready) {
-            if (!m.over) {
-                trySend(now, m);
-            }
+            if (!m.over) { trySend(now, m); }
         }
         if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
             double in = Math.max(TICK_MS / 2, nextWake - now);
@@ -616,9 +590,7 @@
                 best = e;
             }
         }
-        if (best != null) {
-            send(now, m, best);
-        }
+        if (best != null) { send(now, m, best); }
     }
 
     private boolean joins(double now, Endpoint e) {
@@ -701,9 +673,7 @@
             e.inflight++;
             e.dest.inflight++;
             slotsUsed++;
-            if (hasIdle(now, e)) {
-                e.idle.removeLast();
-            }
+            if (hasIdle(now, e)) { e.idle.removeLast(); }
             refill(now, e.unit);
             e.unit.tokens -= 1;
             e.unit.sentRate += 1000.0 / RATE_SPAN_MS;
@@ -716,9 +686,7 @@
         }
         attempts.put(key(m.m.id(), m.tries++), new Attempt(m, c));
         m.out = true;
-        if (m.ordered()) {
-            orders.get(m.m.key()).out++;
-        }
+        if (m.ordered()) { orders.get(m.m.key()).out++; }
         act.send(m.m.id(), e.name, timeout(now, m, e, c));
     }
 
