--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -376,7 +376,7 @@
             u.rate += GROW * Math.max(known(u) / cfg.group(), LEAST_RATE) * dt / 1000;
         }
         if (u.limit > 0) {
-            // Where calls can be shared and many are refused, our part is enough: what waits travels together.
+            // Where calls can be shared and many are refused our part will do: what waits goes together.
             boolean shares = u.refusedShare > MANY_REFUSED && u.endpoints.get(0).kind.bundleMax() > 1;
             u.rate = Math.min(u.rate, shares ? SHARED_PART * u.limit / cfg.group() : u.limit);
         }
