--- a/src/test/java/firstair/control/MechanismTest.java
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -192,4 +192,45 @@
         b.run(1_500, Result.OK, 20);
         assertThat(b.reports).anyMatch(r -> r.contains("sick")).anyMatch(r -> r.contains("ramping up"));
     }
+
+    /** Incident on sapporo-main: answers lost at random must not tie up slots for longer and longer. */
+    @Test
+    void timeOutsStayShortWhereTheEndpointAnswersOthers() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a");
+        long lost = b.take(0, 1);
+        b.decide();
+        for (int i = 0; i < 2; i++) {
+            Sent mine = b.out.stream().filter(s -> s.id() == lost).findFirst().orElseThrow();
+            b.now += mine.timeoutMs();
+            b.end(mine, Result.TIMEOUT, 0);
+            long other = b.take(0, 1);
+            b.decide();
+            b.now += 200;
+            b.end(b.out.stream().filter(s -> s.id() == other).findFirst().orElseThrow(), Result.OK, 0);
+            b.run(700, Result.OK, 10_000);
+        }
+        List<Sent> tries = b.sent.stream().filter(s -> s.id() == lost).toList();
+        assertThat(tries).hasSize(3);
+        assertThat(tries.get(2).timeoutMs()).isLessThan(1.5 * tries.get(0).timeoutMs());
+    }
+
+    /** Incident on cluj-sala-mare: one call carries many, so nobody needs the whole limit. */
+    @Test
+    void whereCallsAreSharedRefusalsKeepUsToOurPart() {
+        long[] calls = new long[2];
+        for (int bundle = 1; bundle <= 2; bundle++) {
+            Bench b = new Bench(Bench.settings(new Kind(false, bundle), 16, Bench.SAFE)).endpoints("1/0/a");
+            for (int i = 0; i < 400; i++) {
+                b.take(0, 1);
+                b.decide();
+                boolean full = i < 60 && i % 4 == 0;
+                new java.util.ArrayList<>(b.out).forEach(s -> b.end(s, full ? Result.FULL : Result.OK, 0,
+                        new Controller.Load(1, 8)));
+                b.silence(50);
+            }
+            double from = b.now - 10_000;
+            calls[bundle - 1] = b.sent.stream().filter(s -> s.at() > from).mapToDouble(Sent::at).distinct().count();
+        }
+        assertThat(calls[1]).isLessThan(calls[0]);
+    }
 }
