--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -22,8 +22,6 @@
     private static final double OUTLIER = 3;               // a duration counts for at most so many usual ones
     private static final double TIMEOUT_CALLS = 8;         // usual durations until a call is timed out
     private static final double LEAST_TIMEOUT_MS = 1000;   // below this chance alone would time calls out
-    private static final double LIVELY = 1.5;              // slower than this, a silent call may be slow only
-    private static final double LOST_SHARE = 0.6;          // of the time-out where others are answered
     private static final double WINDOW_SHARE = 0.6;        // of a key's window that one attempt may use up
     private static final double EXTRA_ITEM = 0.15;         // work of a further message in a call, in calls
     private static final double STALL_CALLS = 5;           // usual durations of silence: the endpoint stalls
@@ -586,7 +584,7 @@
             if (!joins && (!slot || !open(now, e))) { continue; }
             double cost = (e.inflight + 1.0) * Math.max(0.5, e.slowness) * (joins ? 0.5 : 1)
                     + (e.zone == cfg.zone() ? 0 : 0.5) + (hasIdle(now, e) ? 0 : 0.3)
-                    + (e.down ? 100 : 0);
+                    - (e.down ? 100 : 0);
             if (cost < least) {
                 least = cost;
                 best = e;
@@ -694,10 +692,8 @@
 
     private double timeout(double now, Msg m, Endpoint e, Call c) {
         double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (c.items - 1));
-        // Where others are answered at the usual pace a silent call is lost; elsewhere it may only be slow.
-        boolean lively = e.failRun == 0 && e.slowness < LIVELY && now - e.okAt < LEAST_TIMEOUT_MS;
         double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
-                * (lively ? LOST_SHARE : Math.pow(PAUSE_GROWTH, Math.min(m.timeouts, e.failRun)));
+                * Math.pow(PAUSE_GROWTH, Math.min(m.timeouts, e.failRun));
         if (m.c.effect() == Effect.KEYED) {
             patience = Math.min(patience, Math.max(WINDOW_SHARE * m.c.windowMs(), OUTLIER * usual));
         }
