--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -584,7 +584,7 @@
             if (!joins && (!slot || !open(now, e))) { continue; }
             double cost = (e.inflight + 1.0) * Math.max(0.5, e.slowness) * (joins ? 0.5 : 1)
                     + (e.zone == cfg.zone() ? 0 : 0.5) + (hasIdle(now, e) ? 0 : 0.3)
-                    - (e.down ? 100 : 0);
+                    + (e.down ? 100 : 0);
             if (cost < least) {
                 least = cost;
                 best = e;
