Halve time-outs while lone time-outs show that answers get lost everywhere

The relay now follows the share of time-outs at endpoints that had not failed before; above 0.15 it waits half as long where an endpoint is neither slow nor failing. Guards against a network of our own that drops calls too. Harm: a fleet of which many parts turn slow at once may be taken for lossy until its endpoints show as slow.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -22,6 +22,10 @@
     private static final double OUTLIER = 3;               // a duration counts for at most so many usual ones
     private static final double TIMEOUT_CALLS = 8;         // usual durations until a call is timed out
     private static final double LEAST_TIMEOUT_MS = 1000;   // below this chance alone would time calls out
+    private static final double LEARN_LOST = 0.05;         // weight of a call in that share
+    private static final double MANY_LOST = 0.15;          // share of lone time-outs that means lost answers
+    private static final double LIVELY = 1.5;              // slower than this, a silent call may be slow only
+    private static final double LOST_SHARE = 0.5;          // of the time-out while answers get lost
     private static final double WINDOW_SHARE = 0.6;        // of a key's window that one attempt may use up
     private static final double EXTRA_ITEM = 0.15;         // work of a further message in a call, in calls
     private static final double STALL_CALLS = 5;           // usual durations of silence: the endpoint stalls
@@ -141,6 +145,7 @@
     private final Map<Integer, Unit> shared = new HashMap<>();
     private final Map<String, Order> orders = new HashMap<>();
     private final double[] classUsual;
+    private double lost;              // recent share of time-outs at endpoints that did not fail before
     private int slotsUsed;
     private double wakeAt = FOREVER; // earliest wake-up asked for
     private double nextWake;                          // earliest that this round wants
@@ -297,6 +302,7 @@
                     other.trialAt = Math.min(other.trialAt, now + jittered(FIRST_TRIAL_MS));
                 }
             }
+            lost -= LEARN_LOST * lost;
             e.down = false;
             e.failRun = 0;
             e.okAt = now;
@@ -308,6 +314,7 @@
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
+        if (o.result() == Result.TIMEOUT && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
         if (o.result() == Result.FULL) {
             full(now, o.waitMs(), e);
             if (!c.trial && (Double.isNaN(u.fullSince) || now - u.fullSince < FULL_OUTAGE_MS)
@@ -694,6 +701,9 @@
         double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (c.items - 1));
         double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
                 * Math.pow(PAUSE_GROWTH, Math.min(m.timeouts, e.failRun));
+        // Answers get lost everywhere: waiting for them only fills the slots. Also against our own network if
+        // it drops calls. Where an endpoint is slow or fails in a row its time-out stays long.
+        if (lost > MANY_LOST && e.failRun == 0 && e.slowness < LIVELY) { patience *= LOST_SHARE; }
         if (m.c.effect() == Effect.KEYED) {
             patience = Math.min(patience, Math.max(WINDOW_SHARE * m.c.windowMs(), OUTLIER * usual));
         }
