--- a/src/test/java/firstair/control/MechanismTest.java
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -233,4 +233,26 @@
         }
         assertThat(calls[1]).isLessThan(calls[0]);
     }
+
+    /** Incident on sapporo-main: where lone time-outs are common, waiting for a lost answer only fills the slots. */
+    @Test
+    void lostAnswersEverywhereShortenTimeOuts() {
+        double[] first = new double[2];
+        for (int lossy = 0; lossy < 2; lossy++) {
+            Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a", "2/0/b");
+            for (int i = 0; i < 60; i++) {
+                b.take(0, 1 + i % 2);
+                b.decide();
+                boolean lost = lossy == 1 && i % 3 == 0;
+                b.now += 200;
+                new java.util.ArrayList<>(b.out).forEach(s -> b.end(s, lost ? Result.TIMEOUT : Result.OK, 0));
+                b.run(300, Result.OK, 200);
+            }
+            b.run(3_000, Result.OK, 200);
+            b.take(0, 1);
+            b.decide();
+            first[lossy] = b.out.get(0).timeoutMs();
+        }
+        assertThat(first[1]).isLessThan(0.7 * first[0]);
+    }
 }
