Hold fewer endpoints for down while calls get lost everywhere

Guards against any loss that is not the destination's. Harm: a real outage during such a time is found two failures later.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -32,6 +32,7 @@
     private static final double LEAST_STALL_MS = 700;      // shorter silences are common
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
+    private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
     private static final int DOWN_AFTER = 3;               // failures in a row that make an endpoint down
     private static final double FULL_OUTAGE_MS = 2500;     // refusals alone mean an outage after this long
     private static final double SHUT_WAIT_MS = 2500;       // a longer wait means shut, not a limit's span
@@ -314,7 +315,8 @@
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
-        if (o.result() == Result.TIMEOUT && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
+        boolean gone = o.result() == Result.TIMEOUT || o.result() == Result.RESET;
+        if (gone && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
         if (o.result() == Result.FULL) {
             full(now, o.waitMs(), e);
             if (!c.trial && (Double.isNaN(u.fullSince) || now - u.fullSince < FULL_OUTAGE_MS)
@@ -334,8 +336,9 @@
         e.failRun++;
         u.failRun++;
         if (e.cold()) { e.coldSince = FOREVER; }
-        boolean unitFails = u.failRun >= DOWN_AFTER && now - u.okAt > LEAST_STALL_MS;
-        if (!e.down && (e.failRun >= DOWN_AFTER || unitFails)) {
+        int downAfter = lost > MANY_LOST ? DOWN_AFTER_LOST : DOWN_AFTER;
+        boolean unitFails = u.failRun >= downAfter && now - u.okAt > LEAST_STALL_MS;
+        if (!e.down && (e.failRun >= downAfter || unitFails)) {
             act.report("endpoint " + e.name + " held to be sick after " + o.result());
             e.down = true;
             e.coldSince = FOREVER;
--- a/src/test/java/firstair/control/MechanismTest.java
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -255,4 +255,26 @@
         }
         assertThat(first[1]).isLessThan(0.7 * first[0]);
     }
+
+    /** Incident on thrissur-register: calls reset at random everywhere are no reason to hold endpoints for down. */
+    @Test
+    void callsLostEverywhereRaiseFewerAlarms() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a", "2/0/b", "3/0/c");
+        for (int i = 0; i < 120; i++) {
+            b.take(0, 1 + i % 3);
+            b.decide();
+            boolean lost = i % 4 < 2;
+            b.now += 100;
+            new java.util.ArrayList<>(b.out).forEach(s -> b.end(s, lost ? Result.RESET : Result.OK, 0));
+        }
+        b.reports.clear();
+        b.run(2_000, Result.OK, 50);
+        for (int i = 0; i < 4; i++) {
+            b.take(0, 1);
+            b.decide();
+            b.endAll(Result.RESET, 0);
+            b.now += 100;
+        }
+        assertThat(b.reports).noneMatch(r -> r.contains("sick"));
+    }
 }
