SIGHUP reads the configuration again and moves discovery and notices

Checked: no handler anywhere (Main.serve installed a shutdown hook only), which makes the virtual machine end; the drain ran and was cut short by nothing. Watch and Notices held the address as a final field, so a handler alone would not have been enough. Change: the signal reads the file on its own thread; the loop then moves the watch (asked anew from the version held, at once) and the notices (what is out at the old place is posted again, since its answer may never come). A file that cannot be used is one log line.

--- a/src/main/java/firstair/Main.java
+++ b/src/main/java/firstair/Main.java
@@ -7,6 +7,7 @@
 import firstair.simhost.SimHost;
 import firstair.simhost.WireException;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** The command line. */
 public final class Main {
@@ -38,6 +39,13 @@
 
     private static int serve() throws IOException, InterruptedException {
         Logs.install();
+        AtomicReference<Relay> serving = new AtomicReference<>();
+        Signals.onHangup(() -> { // before anything else: a relay that is still starting must not end by it either
+            Relay r = serving.get();
+            if (r != null) {
+                r.reload(() -> Config.read(System.getenv()));
+            }
+        });
         Relay relay;
         try {
             relay = new Relay(Config.read(System.getenv()));
@@ -47,6 +55,7 @@
         } catch (IOException e) {
             return failed(e);
         }
+        serving.set(relay);
         Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
         try {
             relay.run();
--- /dev/null
+++ b/src/main/java/firstair/Signals.java
@@ -0,0 +1,34 @@
+package firstair;
+
+import java.lang.reflect.Proxy;
+import java.util.logging.Logger;
+
+/** The signals that the virtual machine would otherwise answer by ending. */
+final class Signals {
+    private static final Logger LOG = Logger.getLogger(Signals.class.getName());
+
+    private Signals() { }
+
+    /**
+     * Runs a task at each SIGHUP, on a thread of its own, in place of the end that the virtual machine has for it.
+     * The only way to it is {@code sun.misc.Signal}, by reflection since the compiler warns of each use of that class.
+     */
+    static void onHangup(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object run = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, args) -> {
+                        if (!method.getName().equals("handle")) {
+                            return method.invoke(task, args);
+                        }
+                        task.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), run);
+        } catch (ReflectiveOperationException e) {
+            LOG.warning("SIGHUP cannot be used here: " + e); // a system without it, or -Xrs
+        }
+    }
+}
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -30,6 +30,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.Connection;
 
@@ -78,6 +79,7 @@
     private final Map<String, Long> ids = new HashMap<>();        // of held messages, by the clients' ids
     private final List<Held> fresh = new ArrayList<>();           // taken in this round, not answered yet
     private final List<Send> sends = new ArrayList<>();           // asked for in this round
+    private final Object reloading = new Object();
     private final CountDownLatch ended = new CountDownLatch(1);
     private long nextId;
     private boolean listen;
@@ -145,6 +147,31 @@
         }
     }
 
+    /**
+     * Reads the configuration again and follows discovery to where it is now: for a signal's thread. What was taken
+     * on is not touched. One that cannot be used changes nothing; what else it changes waits for the next start.
+     */
+    public void reload(Supplier<Config> read) {
+        synchronized (reloading) { // the last of several signals must win
+            try {
+                Config next = read.get();
+                loop.post(() -> moved(next));
+            } catch (ConfigException e) {
+                LOG.warning(e.getMessage() + "; the configuration read before stays");
+            }
+        }
+    }
+
+    private void moved(Config next) {
+        if (!next.limits().equals(config.limits()) || !next.settings().equals(config.settings())
+                || !next.listen().equals(config.listen())) {
+            LOG.warning("configuration read again: limits, settings and listen change with the next start only");
+        }
+        LOG.info("configuration read again, discovery at " + HostPort.of(next.discovery()));
+        watch.move(next.discovery());
+        notices.move(next.discovery());
+    }
+
     // ---- start and end ----
 
     /** What the last process had not ended: what is owed by now, and what goes on with its history. */
--- a/src/main/java/firstair/relay/discovery/Watch.java
+++ b/src/main/java/firstair/relay/discovery/Watch.java
@@ -31,7 +31,7 @@
     private final Wire wire;
     private final Limits limits;
     private final Loop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final List<String> kinds;
     private final List<String> zones;
     private final Listener listener;
@@ -59,6 +59,14 @@
         call.start();
     }
 
+    /** Discovery is elsewhere from now on: what was asked or watched at the old place is asked anew, at once. */
+    public void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            listen();
+        }
+    }
+
     /** Whether a watch stands and has told something, so that the list is what discovery has. */
     public boolean current() {
         return call != null && call.watching && call.told;
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -30,7 +30,7 @@
     private final Wire wire;
     private final Limits limits;
     private final Loop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final LongConsumer confirmed;
     private final Map<Long, byte[]> owed = new LinkedHashMap<>();
     private HttpLink idle;
@@ -60,6 +60,32 @@
         owed.put(id, (o + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
+    /**
+     * Notices go elsewhere from now on. What is out at the old place is posted again at once: its answer may never
+     * come, and a notice may come twice.
+     */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        if (idle != null) {
+            idle.leave();
+            idle = null;
+        }
+        if (out != null) {
+            out.link.leave();
+            out.late.cancel();
+            out = null;
+        }
+        if (again != null) {
+            again.cancel();
+            again = null;
+        }
+        pause = limits.noticePauseMs();
+        flush();
+    }
+
     /** How many notices are not confirmed. */
     public int owed() {
         return owed.size();
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -387,6 +387,54 @@
         }
     }
 
+    /** SIGHUP would end the virtual machine; here it means to follow discovery and the platform elsewhere. */
+    @Test
+    void atAHangUpItFollowsDiscoveryAndThePlatformAndTouchesNoMessage() throws Exception {
+        LinkedBlockingQueue<StandIn.Request> held = new LinkedBlockingQueue<>();
+        behaviour = held::add;
+        node.start();
+        node.handIn("m1", "unsafe", 20_000, DEST, null, new byte[1]);
+        StandIn.Request out = held.poll(20, TimeUnit.SECONDS);
+        try (Platform first = new Platform(list(1)); Platform second = new Platform(
+                Platform.list(3, true, "s1 7 " + partner.hostPort(), "s2 9 " + partner.hostPort()))) {
+            for (Platform p : List.of(first, second)) {
+                node.discovery(p.hostPort());
+                node.hangUp();
+                node.line("discovery at " + p.hostPort());
+                Await.until("a watch at the new place", p::watched);
+            }
+            platform.close(); // the old place is gone, and nothing comes of it
+            while (node.handIn("x", "safe", 9000, "dest=9", null, new byte[1]).contains(" 404 ")) {
+                // what only the last place tells has not come yet
+            }
+            out.answer(200); // and the call that was out went on
+            behaviour = r -> r.answer(503);
+            assertThat(node.handIn("m2", "unsafe", 1500, DEST, null, new byte[1])).startsWith("HTTP/1.1 202");
+            String n = second.notices.poll(20, TimeUnit.SECONDS);
+            assertThat(n).contains("\"message\":\"m2\"").contains("handed_back");
+            assertThat(first.notices).isEmpty();
+            assertThat(calls.stream().filter(r -> "m1".equals(r.header("request-id")))).hasSize(1);
+        }
+    }
+
+    @Test
+    void atAHangUpAFileThatCannotBeUsedChangesNothing() throws Exception {
+        node.start();
+        Await.until("a watch", platform::watched);
+        node.config("{\"listen\":");
+        node.hangUp();
+        node.line("the configuration read before stays");
+        node.config("{\"listen\":\"127.0.0.1:0\",\"settings\":{}}");
+        node.hangUp();
+        node.line("settings.classes: no class");
+        assertThat(node.get("/-/ready")).startsWith("HTTP/1.1 200");
+        behaviour = r -> r.answer(503);
+        node.handIn("m1", "unsafe", 1500, DEST, null, new byte[1]);
+        assertThat(notice()).contains("m1");
+        node.kill();
+        assertThat(node.log()).filteredOn(l -> l.contains("read before stays")).hasSize(2);
+    }
+
     @Test
     void anEndpointThatDrainsGetsNothingNew() throws Exception {
         node.start();
--- a/src/test/java/firstair/relay/standin/Node.java
+++ b/src/test/java/firstair/relay/standin/Node.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -29,7 +30,7 @@
     private static final int WAIT_S = 20;
 
     private final Path folder;
-    private final String discovery;
+    private String discovery;
     private String known;
     private final List<String> log = new ArrayList<>();
     private String config;
@@ -96,15 +97,32 @@
         }
     }
 
-    /** Starts the process. */
-    public void launch() throws Exception {
-        Files.createDirectories(state());
+    /** Where discovery is from the next writing of the configuration on. */
+    public void discovery(String at) {
+        discovery = at;
+    }
+
+    /** Writes its configuration again and sends it SIGHUP. */
+    public void hangUp() throws Exception {
+        write();
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).inheritIO().start().waitFor();
+    }
+
+    private Path write() throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, config != null ? config : "{\"name\":\"n0\",\"listen\":\"" + listen
+        Path draft = folder.resolve("config.new");
+        Files.writeString(draft, config != null ? config : "{\"name\":\"n0\",\"listen\":\"" + listen
                 + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
                 + "\"sockets\":1024,\"disk_mb\":" + diskMb + "},\"known\":" + known + ",\"settings\":" + settings()
                 + "}");
+        return Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Starts the process. */
+    public void launch() throws Exception {
+        Files.createDirectories(state());
+        Path file = write();
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(flags());
--- a/src/test/java/firstair/relay/standin/Platform.java
+++ b/src/test/java/firstair/relay/standin/Platform.java
@@ -68,6 +68,13 @@
         state.down = down;
     }
 
+    /** Whether anybody watches, or has watched. */
+    public boolean watched() {
+        synchronized (state) {
+            return !state.watches.isEmpty();
+        }
+    }
+
     /** From now on notices are answered so. */
     public void noticeStatus(int status) {
         state.noticeStatus = status;
