--- /dev/null
+++ b/deploy/run.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Runs one relay within the memory that its configuration allows: sh deploy/run.sh -jar target/firstair.jar serve
+set -eu
+# limits.memory_mb of the file that ROUTER_CONFIG names; where it says nothing, the most that deployments have
+memory=$(sed -n 's/.*"memory_mb"[[:space:]]*:[[:space:]]*\([0-9][0-9]*\).*/\1/p' "${ROUTER_CONFIG:-/dev/null}" 2>/dev/null |
+    head -n 1)
+# Classes, code, threads and buffers take 40 to 55 MB beside the heap, and a third of the rest stays free. What is held
+# at the same time is a few MB; more heap than 80 MB would only delay collections.
+heap=$(( (${memory:-192} - 72) * 2 / 3 ))
+[ "$heap" -ge 24 ] || heap=24
+[ "$heap" -le 80 ] || heap=80
+# The heap is taken whole at the start, so that memory that runs short shows then and not after days. The archive of
+# loaded classes is made by the build; without it, or with another Java, the start takes longer.
+MALLOC_ARENA_MAX=1 exec java -XX:+UseSerialGC -Xms${heap}m -Xmx${heap}m -XX:+AlwaysPreTouch -Xss256k \
+    -XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=48m -XX:ReservedCodeCacheSize=24m -XX:TieredStopAtLevel=1 \
+    -XX:-UsePerfData -Xshare:auto -XX:SharedArchiveFile=target/firstair.jsa -Xlog:disable -Xlog:all=error:stderr \
+    -XX:+ExitOnOutOfMemoryError "$@"
--- a/src/main/java/firstair/relay/Config.java
+++ b/src/main/java/firstair/relay/Config.java
@@ -64,8 +64,8 @@
                 address("discovery", top.text("discovery", env.get("ROUTER_DISCOVERY"))),
                 Path.of(state), seed(top),
                 Limits.of((int) top.whole("limits.sockets", 0), (int) top.whole("limits.disk_mb", 0),
-                        site.number("quantum", 0), settings.limits().connectTimeoutMs(),
-                        settings.limits().connectionIdleMs()),
+                        Runtime.getRuntime().maxMemory(), site.number("quantum", 0),
+                        settings.limits().connectTimeoutMs(), settings.limits().connectionIdleMs()),
                 settings, known(root, kinds, zones), kinds, zones);
     }
 
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -17,8 +17,14 @@
  * @param idleMs          until an unused connection to an endpoint is closed
  * @param haltMs          how long the other side may take to end a call that was given up
  * @param sweepMs         how often idle and slow connections are looked for
- * @param requestMs       until a client that has begun a request must have sent it
+ * @param emptyMs         how long a destination without endpoints is still taken for one
+ * @param answerMs        until an answer that has begun must be whole
+ * @param restMs          how long a connection that carried an answer is left alone before the next call
+ * @param firstMs         within it a client that has just connected is waited for, whatever else wants its place
+ * @param requestMs       until a client must have sent a request, from its connecting or from the request's begin
+ * @param clientIdleMs    until a client's connection without a request is closed
  * @param lingerMs        how long a refused client may still send before its connection is cut
+ * @param lingerBytes     how much a refused client may still send before that
  * @param listAnswerMs    until discovery must have begun an answer
  * @param listSilenceMs   silence after which a watch is dead
  * @param listLine        bytes of one line of a watch at most
@@ -31,7 +37,8 @@
  */
 public record Limits(int sockets, long diskBytes, int maxBody, int maxHead, int maxClients, int maxLinks,
         int readBuffer, int backlog, double roundMs, double connectMs, double idleMs, double haltMs, double sweepMs,
-        double requestMs, double lingerMs, double listAnswerMs, double listSilenceMs, int listLine,
+        double emptyMs, double answerMs, double restMs, double firstMs, double requestMs, double clientIdleMs,
+        double lingerMs, int lingerBytes, double listAnswerMs, double listSilenceMs, int listLine,
         double noticeAnswerMs, double noticePauseMs, double noticePauseMostMs, int noticeBytes, double drainAcceptMs,
         double drainMs) {
 
@@ -52,6 +59,7 @@
     // Sizes and counts.
     private static final int OTHER_FILES = 32;           // 17 at rest: jars, selector, store, listener, discovery
     private static final double CLIENT_SHARE = 0.5;      // of all other descriptors
+    private static final double HEAP_SHARE = 0.5;        // of the heap, for what clients are sending
     private static final int READ_BUFFER = 16 * KIB;     // most requests come in one read
     private static final int BACKLOG = 512;              // as many as may be open
     private static final int LIST_LINE = 4 * KIB * KIB;  // a list of some ten thousand endpoints
@@ -59,21 +67,34 @@
     private static final double IDLE_GUARD_MS = 200;     // closed so long before the endpoint may close it
     private static final double HALT_MS = 50;            // several times the way to an endpoint and back
     private static final double SWEEP_MS = 100;          // half of the guard
-    private static final double REQUEST_MS = 5000;       // a client waits for 400 ms; this one is broken or hostile
-    private static final double LINGER_MS = 1000;        // for what a refused client has already sent
+    private static final double EMPTY_MS = 30_000;       // longer than any message lives
+    private static final double ANSWER_MS = 200;         // answers are a packet or two, written at once
+    private static final double REST_MS = 20;            // what belongs to an answer comes with it or right behind
+    private static final double FIRST_MS = 200;          // half of what a client waits for an answer
+    private static final double REQUEST_MS = 2000;       // a client waits for 400 ms; this one is broken or hostile
+    private static final double CLIENT_IDLE_MS = 3000;   // kept for many requests a second, not for a visit in hours
+    private static final double LINGER_MS = 500;         // for what a refused client has already sent
+    private static final int LINGER_BYTES = 256 * KIB;   // the same, with what the system still held
     private static final double NOTICE_PAUSE_MS = 50;
     private static final double NOTICE_PAUSE_MOST_MS = 1000;
 
-    /** The limits for what a deployment allows; 0 stands for a figure that it does not tell. */
-    public static Limits of(int sockets, int diskMb, double roundMs, double connectMs, double connectionIdleMs) {
+    /**
+     * The limits for what a deployment allows; 0 stands for a figure that it does not tell.
+     *
+     * @param heapBytes what the virtual machine may hold in objects
+     */
+    public static Limits of(int sockets, int diskMb, long heapBytes, double roundMs, double connectMs,
+            double connectionIdleMs) {
         int open = sockets > 0 ? sockets : USUAL_SOCKETS;
         int connections = Math.max(2, open - OTHER_FILES);
-        int clients = (int) (connections * CLIENT_SHARE);
+        // Each client may have a message of full size on its way, all at the same moment.
+        int clients = (int) Math.min(connections * CLIENT_SHARE, heapBytes * HEAP_SHARE / (MAX_BODY + MAX_HEAD));
         double idle = connectionIdleMs > 0 ? connectionIdleMs : USUAL_IDLE_MS;
         return new Limits(open, (diskMb > 0 ? diskMb : USUAL_DISK_MB) * BYTES_PER_MB, MAX_BODY, MAX_HEAD, clients,
                 connections - clients, READ_BUFFER, BACKLOG, Math.max(0, roundMs),
                 connectMs > 0 ? connectMs : USUAL_CONNECT_MS, Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS,
-                SWEEP_MS, REQUEST_MS, LINGER_MS, LIST_SILENCE_MS, LIST_SILENCE_MS, LIST_LINE, NOTICE_ANSWER_MS,
+                SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS, REQUEST_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES,
+                LIST_SILENCE_MS, LIST_SILENCE_MS, LIST_LINE, NOTICE_ANSWER_MS,
                 NOTICE_PAUSE_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, DRAIN_ACCEPT_MS, DRAIN_MS);
     }
 }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -58,6 +58,9 @@
         }
     }
 
+    /** What the list tells of an endpoint: its destination, and the most messages of a call. */
+    private record Place(int destination, int bundleMax) { }
+
     private record Send(long id, String endpoint, double timeoutMs) { }
 
     private record Planned(String endpoint, Item item) { }
@@ -73,8 +76,8 @@
     private final ClientFilter clients;
     private final Control control;
     private final Map<String, Integer> classes = new HashMap<>();
-    private final Map<String, Integer> bundles = new HashMap<>(); // most messages of a call, by endpoint
-    private final Set<Integer> destinations = new HashSet<>();    // all that were ever listed
+    private final Map<String, Place> places = new HashMap<>();         // endpoints by their ids
+    private final Map<Integer, Double> destinations = new HashMap<>(); // when each last had an endpoint
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> ids = new HashMap<>();        // of held messages, by the clients' ids
     private final List<Held> fresh = new ArrayList<>();           // taken in this round, not answered yet
@@ -261,8 +264,9 @@
             }
             return;
         }
-        if (watch.current() && !destinations.contains(h.destination())) {
-            h.answer(UNKNOWN, 0);
+        if (!destinations.containsKey(h.destination())) {
+            // Who lists no such destination cannot deliver to it either: another relay, or a later moment, may.
+            h.answer(watch.current() ? UNKNOWN : REFUSED, 0);
             return;
         }
         if (!store.fits(h.body().length)) {
@@ -304,15 +308,26 @@
             control.list(loop.now(), news, List.of());
             return;
         }
+        double now = loop.now();
+        Set<String> gone = new HashSet<>(news == News.CHANGES ? Set.of() : places.keySet());
+        places.values().forEach(p -> destinations.put(p.destination(), now));
         endpoints.learn(listed.addresses());
         List<Controller.Kind> kinds = config.settings().kinds();
         for (Controller.Entry e : listed.entries()) {
-            destinations.add(e.destination());
-            if (!kinds.isEmpty()) {
-                bundles.put(e.endpoint(), kinds.get(Math.min(e.kind(), kinds.size() - 1)).bundleMax());
+            if (e.listing() == Controller.Listing.LEFT) {
+                gone.add(e.endpoint());
+                continue;
             }
+            gone.remove(e.endpoint());
+            destinations.put(e.destination(), now);
+            places.put(e.endpoint(), new Place(e.destination(),
+                    kinds.isEmpty() ? 1 : kinds.get(Math.min(e.kind(), kinds.size() - 1)).bundleMax()));
         }
-        control.list(loop.now(), news, listed.entries());
+        // Endpoints and their addresses are ever new: nothing is kept of those that have left.
+        endpoints.forget(gone);
+        places.keySet().removeAll(gone);
+        destinations.values().removeIf(at -> now - at > limits.emptyMs());
+        control.list(now, news, listed.entries());
     }
 
     // ---- the round ----
@@ -386,7 +401,9 @@
         for (Planned p : planned) {
             List<Item> batch = batches.computeIfAbsent(p.endpoint(), k -> new ArrayList<>());
             int bytes = p.item().bundled() + batch.stream().mapToInt(Item::bundled).sum();
-            if (batch.size() >= bundles.getOrDefault(p.endpoint(), 1) || !batch.isEmpty() && bytes > limits.maxBody()) {
+            Place place = places.get(p.endpoint());
+            int most = place == null ? 1 : place.bundleMax();
+            if (batch.size() >= most || !batch.isEmpty() && bytes > limits.maxBody()) {
                 endpoints.call(p.endpoint(), batch);
                 batch = new ArrayList<>();
                 batches.put(p.endpoint(), batch);
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -27,15 +27,19 @@
     private boolean answering;     // a request awaits its answer
     private boolean last;          // no request is taken after this answer
     private boolean draining;
+    private boolean served;        // a request has been answered
     private byte[] backlog = NOTHING;
-    private double quietSince;     // last answer, or first byte of a request
+    private double quietSince;     // connected, or last answer
+    private double begunAt;        // connected, or first byte of the request that is being read
     private double endingSince;
+    private long discarded;        // bytes that came after a refusal
 
     ClientConnection(Connection<?> connection, Limits limits, Desk desk) {
         this.connection = connection;
         this.limits = limits;
         this.desk = desk;
         this.quietSince = desk.now();
+        this.begunAt = quietSince;
         this.parser = new HttpParser(HttpParser.Kind.REQUEST, limits.maxHead(), limits.maxBody(), new Collector() {
             @Override
             public void head(Head h) {
@@ -52,13 +56,27 @@
         });
     }
 
-    synchronized void received(byte[] bytes) {
-        if (phase != Phase.OPEN) {
-            return; // what a refused client still sends
+    /**
+     * Passes over what a refused client still sends. Its answer would be lost with a reset, so it may go on for a
+     * little; a body of many megabytes is not read to its end.
+     *
+     * @return false if what came is to be looked at
+     */
+    synchronized boolean discards(int bytes) {
+        if (phase == Phase.OPEN) {
+            return false;
+        }
+        discarded += bytes;
+        if (phase == Phase.ENDING && discarded > limits.lingerBytes()) {
+            close();
         }
+        return true;
+    }
+
+    synchronized void received(byte[] bytes) {
         if (!answering) {
             parse(bytes);
-        } else if (backlog.length + bytes.length <= limits.maxBody() + limits.maxHead()) {
+        } else if (backlog.length + bytes.length <= limits.maxHead()) {
             backlog = joined(backlog, bytes);
         } else {
             close();
@@ -75,8 +93,8 @@
         int at = 0;
         try {
             while (at < bytes.length && !answering && phase == Phase.OPEN) {
-                if (parser.between()) {
-                    quietSince = desk.now();
+                if (served && parser.between()) {
+                    begunAt = desk.now();
                 }
                 at += parser.feed(bytes, at, bytes.length - at);
             }
@@ -167,6 +185,7 @@
         }
         byte[] bytes = w.body(NOTHING);
         answering = false;
+        served = true;
         quietSince = desk.now();
         if (close) {
             phase = Phase.ENDING;
@@ -201,26 +220,56 @@
         }
     }
 
-    /** Closes it if it takes too long over a request or over its end. */
+    /** Answers with a refusal and ends, whatever it may want: there is no room for it. */
+    synchronized void turnAway() {
+        last = true;
+        answering = true;
+        answer(503, 0);
+    }
+
+    /** Ends it if it says nothing, or takes too long over a request or over its end. */
     synchronized void sweep(double now) {
         if (phase == Phase.ENDING && now - endingSince > limits.lingerMs()) {
             close();
-        } else if (phase == Phase.OPEN && !answering && !parser.between()
-                && now - quietSince > limits.requestMs()) {
-            last = true;
-            answering = true;
-            answer(408, 0);
+        } else if (phase == Phase.OPEN && !answering) {
+            boolean waitsForMore = !served || !parser.between();
+            if (waitsForMore && now - begunAt > limits.requestMs()) {
+                last = true;
+                answering = true;
+                answer(408, 0); // also where nothing came: it may cross a first request, which is owed an answer
+            } else if (!waitsForMore && now - quietSince > limits.clientIdleMs()) {
+                close(); // whose next request crosses this will send it again on a new connection
+            }
+        }
+    }
+
+    /**
+     * How little is lost if it is closed to make room for another one, 0 if it must stay: most for what has been
+     * refused, then for a client that has connected and not sent a request in a time that is enough for any, for one
+     * that has been served before, and last for one that has only just connected.
+     */
+    synchronized int spare(double now) {
+        if (phase != Phase.OPEN) {
+            return phase == Phase.ENDING ? 4 : 0;
+        }
+        if (answering) {
+            return 0;
+        }
+        if (now - begunAt > limits.firstMs() && (!served || !parser.between())) {
+            return 3;
         }
+        return !parser.between() ? 0 : served ? 2 : 1;
     }
 
-    /** Since when no request is being read or answered, or NaN if one is. */
-    synchronized double idleSince() {
-        return busy() || phase == Phase.CLOSED ? Double.NaN : quietSince;
+    /** Since when it has been as it is. */
+    synchronized double since() {
+        return phase == Phase.ENDING ? endingSince : quietSince;
     }
 
-    /** Whether a request is being read or answered. */
+    /** Whether a request is being read or answered, or a first one may be on its way. */
     synchronized boolean busy() {
-        return phase == Phase.ENDING || phase == Phase.OPEN && (answering || !parser.between());
+        return phase == Phase.ENDING || phase == Phase.OPEN && (answering || !parser.between()
+                || !served && desk.now() - begunAt < limits.firstMs());
     }
 
     synchronized boolean gone() {
--- a/src/main/java/firstair/relay/clients/ClientFilter.java
+++ b/src/main/java/firstair/relay/clients/ClientFilter.java
@@ -2,8 +2,6 @@
 
 import firstair.relay.Limits;
 import firstair.relay.net.Wire;
-import java.util.Comparator;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.glassfish.grizzly.Grizzly;
@@ -30,26 +28,41 @@
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
         ClientConnection client = new ClientConnection(ctx.getConnection(), limits, desk);
-        if (open.size() >= limits.maxClients()) {
-            Optional<ClientConnection> longest = open.stream().filter(c -> !Double.isNaN(c.idleSince()))
-                    .min(Comparator.comparingDouble(ClientConnection::idleSince));
-            if (longest.isEmpty()) {
-                client.close();
-                return ctx.getStopAction();
-            }
-            longest.get().close();
-        }
+        boolean room = open.size() < limits.maxClients() || makeRoom();
         CLIENT.set(ctx.getConnection(), client);
         open.add(client);
+        if (!room) {
+            client.turnAway();
+        }
         return ctx.getInvokeAction();
     }
 
+    /** Closes the connection that is missed least; hundreds that say nothing must not keep out those who would. */
+    private boolean makeRoom() {
+        double now = desk.now();
+        ClientConnection least = null;
+        int most = 0;
+        for (ClientConnection c : open) {
+            int spare = c.spare(now);
+            if (spare > most || spare > 0 && spare == most && c.since() < least.since()) {
+                least = c;
+                most = spare;
+            }
+        }
+        if (least != null) {
+            least.close();
+            open.remove(least);
+        }
+        return least != null;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
-        byte[] bytes = Wire.bytes(ctx);
         ClientConnection client = CLIENT.get(ctx.getConnection());
-        if (client != null) {
-            client.received(bytes);
+        if (client == null || client.discards(Wire.size(ctx))) {
+            Wire.drop(ctx);
+        } else {
+            client.received(Wire.bytes(ctx));
         }
         return ctx.getStopAction();
     }
--- a/src/main/java/firstair/relay/discovery/Watch.java
+++ b/src/main/java/firstair/relay/discovery/Watch.java
@@ -171,7 +171,7 @@
         }
 
         @Override
-        public void done(boolean reusable) {
+        public void done(boolean reusable, boolean alone) {
             if (!watching) {
                 byte[] end = "\n".getBytes(StandardCharsets.US_ASCII); // the whole list may lack its line end
                 lines.feed(end, 0, end.length);
--- a/src/main/java/firstair/relay/endpoints/Answers.java
+++ b/src/main/java/firstair/relay/endpoints/Answers.java
@@ -71,7 +71,9 @@
         }
     }
 
+    /** A figure of a report. One that no limit can have would stop all calls, or pace none. */
     private static double number(JsonElement e) {
-        return e == null || e.isJsonNull() ? Double.NaN : e.getAsDouble();
+        double x = e == null || e.isJsonNull() ? Double.NaN : e.getAsDouble();
+        return x >= 0 && x < Integer.MAX_VALUE ? x : Double.NaN;
     }
 }
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -15,12 +15,15 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Makes calls and tells how each message of them ended, exactly once. A call has a connection for itself; a
@@ -28,6 +31,8 @@
  * thread.
  */
 public final class Endpoints {
+    private static final int DELIVERED = 200;
+
     private final Wire wire;
     private final Limits limits;
     private final Loop loop;
@@ -46,6 +51,14 @@
         this.outcomes = outcomes;
     }
 
+    /** Forgets endpoints that are no longer listed; calls that are out to them go on. */
+    public void forget(Collection<String> gone) {
+        gone.forEach(id -> {
+            addresses.remove(id);
+            closeIdle(id); // its address may be another one's by now
+        });
+    }
+
     /** Learns where endpoints are; those that are not named stay where they were. */
     public void learn(Map<String, InetSocketAddress> told) {
         told.forEach((id, at) -> {
@@ -109,6 +122,7 @@
     private final class Call implements HttpLink.Exchange {
         private final String endpoint;
         private final List<Item> items;
+        private final Set<String> ids; // all that it was made with
         private final boolean bundle;
         private final double startedAt = loop.now();
         private final List<Loop.Timer> timers = new ArrayList<>();
@@ -116,11 +130,13 @@
         private HttpLink link;
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
+        private volatile int first; // status of a first line that has come
         private volatile Head head;
 
         Call(String endpoint, List<Item> items) {
             this.endpoint = endpoint;
             this.items = new ArrayList<>(items);
+            this.ids = items.stream().map(Item::requestId).collect(Collectors.toSet());
             this.bundle = items.size() > 1;
         }
 
@@ -135,17 +151,25 @@
                     timers.add(loop.after(left, () -> end(i, new Answers.End(Result.TIMEOUT, false), 0, Load.NONE)));
                 }
             }
-            byte[] request = request(patience);
+            InetSocketAddress to = addresses.get(endpoint);
+            if (to == null) { // it left the list in the round that chose it
+                loop.post(() -> ended(Result.CONNECT_FAILED));
+                return;
+            }
+            byte[] request = request(patience, HostPort.of(to));
             ArrayDeque<Idle> kept = idle.getOrDefault(endpoint, new ArrayDeque<>());
-            while (!kept.isEmpty()) {
-                HttpLink last = kept.pollLast().link();
-                if (last.send(request, this)) {
-                    link = last;
+            for (Iterator<Idle> all = kept.descendingIterator(); all.hasNext();) {
+                Idle last = all.next();
+                if (startedAt - last.since() < limits.restMs()) {
+                    continue; // what is still to come behind its last answer must not be taken for the next one
+                }
+                all.remove();
+                if (last.link().send(request, this)) {
+                    link = last.link();
                     return;
                 }
             }
             makeRoom();
-            InetSocketAddress to = addresses.get(endpoint);
             HttpLink[] made = new HttpLink[1];
             link = new HttpLink(wire, limits, to, limits.maxBody(), request, this,
                     () -> loop.post(() -> forget(made[0])));
@@ -157,8 +181,7 @@
             }));
         }
 
-        private byte[] request(double patience) {
-            String host = HostPort.of(addresses.get(endpoint));
+        private byte[] request(double patience, String host) {
             String wait = String.valueOf((long) Math.ceil(patience));
             if (!bundle) {
                 Item i = items.get(0);
@@ -172,6 +195,24 @@
                     .body(Bundles.write(items.stream().map(Item::part).toList()));
         }
 
+        /** An answer that begins and does not end says no more than its first line, and keeps a slot. */
+        @Override
+        public void begun() {
+            loop.post(() -> {
+                if (!over) {
+                    timers.add(loop.after(limits.answerMs(), () -> {
+                        link.leave();
+                        ended(Result.RESET);
+                    }));
+                }
+            });
+        }
+
+        @Override
+        public void first(int status) {
+            first = status;
+        }
+
         @Override
         public void head(Head h) {
             head = h;
@@ -185,9 +226,9 @@
         }
 
         @Override
-        public void done(boolean reusable) {
+        public void done(boolean reusable, boolean alone) {
             double at = loop.now();
-            loop.post(() -> answered(at, reusable));
+            loop.post(() -> answered(at, reusable, alone));
         }
 
         @Override
@@ -195,15 +236,23 @@
             loop.post(() -> ended(expired ? Result.TIMEOUT : maybeArrived ? Result.RESET : Result.CONNECT_FAILED));
         }
 
-        private void answered(double at, boolean reusable) {
+        private void answered(double at, boolean reusable, boolean alone) {
             if (over) {
                 return;
             }
-            if (reusable) {
+            Answers.End all = Answers.of(head, bundle);
+            Map<String, String> ends = all == null ? Bundles.read(body.toByteArray(), ids) : Map.of();
+            if (ends == null || all != null && !alone && all.result() != Result.OK) {
+                // Its length does not fit: that nothing ran is believed of an answer without a fault only.
+                link.leave();
+                ended(Result.RESET);
+                return;
+            }
+            if (reusable && addresses.containsKey(endpoint)) {
                 idle.computeIfAbsent(endpoint, k -> new ArrayDeque<>()).addLast(new Idle(link, at));
+            } else if (reusable) {
+                link.leave();
             }
-            Answers.End all = Answers.of(head, bundle);
-            Map<String, String> ends = all == null ? Bundles.read(body.toByteArray()) : Map.of();
             double waitMs = Answers.waitMs(head);
             Load load = Answers.load(head);
             for (Item i : List.copyOf(items)) {
@@ -211,15 +260,18 @@
             }
         }
 
-        /** The call ended without a whole answer; a first line alone settles a call with one message. */
+        /**
+         * The call ended without a whole answer. A first line alone delivers a call with one message; anything else
+         * that it says proves nothing, but a wait that was told is kept.
+         */
         private void ended(Result result) {
             if (over) {
                 return;
             }
-            boolean settled = head != null && !bundle;
+            boolean delivered = first == DELIVERED && !bundle;
             for (Item i : List.copyOf(items)) {
-                end(i, settled ? Answers.of(head, false) : new Answers.End(result, false),
-                        settled ? Answers.waitMs(head) : 0, settled ? Answers.load(head) : Load.NONE);
+                end(i, delivered ? new Answers.End(Result.OK, true) : new Answers.End(result, false),
+                        head == null ? 0 : Answers.waitMs(head), head == null ? Load.NONE : Answers.load(head));
             }
         }
 
--- a/src/main/java/firstair/relay/http/Bundles.java
+++ b/src/main/java/firstair/relay/http/Bundles.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Several messages in one body, and the answer that tells how each one ended. */
 public final class Bundles {
@@ -36,15 +37,22 @@
         return out.toByteArray();
     }
 
-    /** How each message ended, by its id; lines that are not of the form are passed over. */
-    public static Map<String, String> read(byte[] body) {
+    /**
+     * How each message ended, by its id. Null if the text is not whole: each message of the call has one line with
+     * one word, and each line an end. What is cut short or padded cannot be trusted in what is left of it either.
+     */
+    public static Map<String, String> read(byte[] body, Set<String> ids) {
+        String text = new String(body, StandardCharsets.ISO_8859_1);
+        if (!text.endsWith("\n")) {
+            return null;
+        }
         Map<String, String> ends = new HashMap<>();
-        for (String line : new String(body, StandardCharsets.ISO_8859_1).split("\r?\n")) {
+        for (String line : text.split("\n")) {
             String[] words = line.trim().split(" +");
-            if (words.length == 2) {
-                ends.put(words[0], words[1]);
+            if (words.length != 2 || !ids.contains(words[0]) || ends.put(words[0], words[1]) != null) {
+                return null;
             }
         }
-        return ends;
+        return ends.size() == ids.size() ? ends : null;
     }
 }
--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -15,6 +15,9 @@
 
     /** Gets the parts of a message as they come. */
     public interface Sink {
+        /** The first line of an answer that is no interim one: so much is sure, whatever follows. */
+        default void first(int status) { }
+
         /** Start line and headers are there. */
         void head(Head head) throws HttpException;
 
@@ -28,6 +31,8 @@
     private enum State { START, HEADERS, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_CLOSE }
 
     private static final int FIRST_LINE_BYTES = 256;
+    private static final int EMPTY_LINES = 2;       // before a request; a peer that sends more says nothing
+    private static final byte[] ANSWER_BEGINS = {'H', 'T', 'T', 'P', '/', '1', '.'};
 
     private final Kind kind;
     private final int maxHead;
@@ -37,6 +42,7 @@
     private byte[] line = new byte[FIRST_LINE_BYTES];
     private int lineLength;
     private int headBytes;
+    private int emptyLines;
     private String[] start;
     private Map<String, String> headers = new LinkedHashMap<>();
     private long left;
@@ -53,9 +59,9 @@
         this.sink = sink;
     }
 
-    /** Whether no part of a message has come since the last one ended. */
+    /** Whether no part of a message has come since the last one ended; empty lines are none. */
     public boolean between() {
-        return state == State.START && headBytes == 0;
+        return state == State.START && lineLength == 0 && headBytes == 0;
     }
 
     /** Takes bytes up to the end of a message and returns how many those are. */
@@ -66,11 +72,13 @@
             switch (state) {
                 case FIXED, CHUNK, TO_CLOSE -> {
                     int n = (int) Math.min(end - at, left);
-                    sink.body(bytes, at, n);
-                    at += n;
-                    if (state != State.TO_CLOSE) {
+                    if (state == State.TO_CLOSE) {
+                        grow(n); // without a length it could go on for ever
+                    } else {
                         left -= n;
                     }
+                    sink.body(bytes, at, n);
+                    at += n;
                     if (left == 0) {
                         if (state == State.FIXED) {
                             finish();
@@ -105,12 +113,23 @@
         if (++headBytes > maxHead) {
             throw new HttpException(431, "header fields too large");
         }
+        if (state == State.START && !begins(b)) {
+            throw new HttpException(400, "not HTTP"); // at once: noise may hold no line end
+        }
         if (lineLength == line.length) {
             line = java.util.Arrays.copyOf(line, line.length * 2);
         }
         line[lineLength++] = b;
     }
 
+    /** Whether a byte can stand at this place of a first line. */
+    private boolean begins(byte b) {
+        if (kind == Kind.ANSWER && lineLength < ANSWER_BEGINS.length) {
+            return b == ANSWER_BEGINS[lineLength];
+        }
+        return b >= ' ' && b < 127 || b == '\r' || b == '\t' || kind == Kind.ANSWER && b < 0;
+    }
+
     /** A line is there; true if it ends the message. */
     private boolean line() throws HttpException {
         int length = lineLength > 0 && line[lineLength - 1] == '\r' ? lineLength - 1 : lineLength;
@@ -118,8 +137,8 @@
         lineLength = 0;
         switch (state) {
             case START -> {
-                if (text.isEmpty()) {
-                    headBytes = 0; // empty lines before a message are passed over
+                if (text.isEmpty() && kind == Kind.REQUEST && ++emptyLines <= EMPTY_LINES) {
+                    headBytes = 0; // passed over
                 } else {
                     startLine(text);
                     state = State.HEADERS;
@@ -168,6 +187,10 @@
                 throw new HttpException(400, "malformed status line");
             }
             version(start[0]);
+            int status = Integer.parseInt(start[1]);
+            if (status >= 200) {
+                sink.first(status);
+            }
         }
     }
 
@@ -192,16 +215,17 @@
     private boolean headDone() throws HttpException {
         String coding = headers.get("transfer-encoding");
         String announced = headers.get("content-length");
+        if (kind == Kind.ANSWER && start[1].charAt(0) == '1') {
+            headers = new LinkedHashMap<>();
+            state = State.START; // an interim answer: the real one follows, in the room of one head for all of them
+            return false;
+        }
         left = announced == null ? 0 : length(announced);
         Head head = new Head(start, headers, announced == null ? -1 : left);
         headers = new LinkedHashMap<>();
         headBytes = 0;
         bodyBytes = 0;
         int status = kind == Kind.ANSWER ? head.status() : 0;
-        if (status >= 100 && status < 200) {
-            state = State.START; // an interim answer: the real one follows
-            return false;
-        }
         if (coding != null) {
             if (!coding.toLowerCase(Locale.ROOT).equals("chunked")) {
                 throw new HttpException(501, "transfer coding not supported");
@@ -253,16 +277,21 @@
             throw new HttpException(400, "malformed chunk size");
         }
         long n = Long.parseLong(size, 16);
+        grow(n);
+        return n;
+    }
+
+    private void grow(long n) throws HttpException {
         bodyBytes += n;
         if (bodyBytes > maxBody) {
             throw new HttpException(413, "content too large");
         }
-        return n;
     }
 
     private void finish() throws HttpException {
         state = State.START;
         headBytes = 0;
+        emptyLines = 0;
         sink.end();
     }
 
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -16,16 +16,30 @@
 public final class HttpLink {
     /** What comes of one request. Exactly one of {@link #done} and {@link #broken} comes, unless it was left. */
     public interface Exchange {
+        /** Something of an answer has come, and not yet all of it. */
+        default void begun() { }
+
+        /** The answer's first line says so, whatever follows it. */
+        default void first(int status) { }
+
         /** Start line and headers of the answer. */
         void head(Head head);
 
         /** A piece of the answer's body, valid during the call only. */
         void body(byte[] bytes, int offset, int length);
 
-        /** The answer is whole; {@code reusable} if the connection can carry another request. */
-        void done(boolean reusable);
+        /**
+         * The answer is whole.
+         *
+         * @param reusable the connection can carry another request
+         * @param alone    nothing came behind it
+         */
+        void done(boolean reusable, boolean alone);
 
-        /** The connection never came up or broke; {@code maybeArrived} unless the last byte was not written. */
+        /**
+         * The connection never came up or broke, or what came is no answer and the connection has been closed;
+         * {@code maybeArrived} unless the last byte was not written.
+         */
         void broken(boolean maybeArrived);
     }
 
@@ -40,6 +54,7 @@
     private Exchange exchange;
     private Head head;
     private boolean answered;
+    private boolean begun;
     private boolean halted;
 
     /**
@@ -89,6 +104,7 @@
             return false;
         }
         exchange = next;
+        begun = false;
         write(request);
         return true;
     }
@@ -129,14 +145,17 @@
             answered = false;
             int used = parser.feed(bytes, 0, bytes.length);
             if (answered) {
-                answered(used == bytes.length && head.keepAlive());
+                answered(used == bytes.length && head.keepAlive(), used == bytes.length);
+            } else if (!begun) {
+                begun = true;
+                exchange.begun();
             }
         } catch (HttpException e) {
             fail(true);
         }
     }
 
-    private void answered(boolean keep) {
+    private void answered(boolean keep, boolean alone) {
         Exchange over = exchange;
         exchange = null;
         boolean reusable = keep && phase == Phase.WAITING && !halted;
@@ -145,7 +164,7 @@
         } else {
             close();
         }
-        over.done(reusable);
+        over.done(reusable, alone);
     }
 
     synchronized void closed() {
@@ -160,7 +179,7 @@
         try {
             answered = false;
             if (parser.eof() && answered) {
-                answered(false);
+                answered(false, true);
                 return;
             }
         } catch (HttpException e) {
@@ -217,6 +236,11 @@
     }
 
     private final class Answer implements HttpParser.Sink {
+        @Override
+        public void first(int status) {
+            exchange.first(status);
+        }
+
         @Override
         public void head(Head h) {
             head = h;
--- a/src/main/java/firstair/relay/net/Wire.java
+++ b/src/main/java/firstair/relay/net/Wire.java
@@ -65,6 +65,16 @@
         transport.shutdownNow();
     }
 
+    /** How many bytes have come in one read. */
+    public static int size(FilterChainContext ctx) {
+        return ((Buffer) ctx.getMessage()).remaining();
+    }
+
+    /** Passes over what has come in one read. */
+    public static void drop(FilterChainContext ctx) {
+        ((Buffer) ctx.getMessage()).tryDispose();
+    }
+
     /** What has come in one read. */
     public static byte[] bytes(FilterChainContext ctx) {
         Buffer buffer = ctx.getMessage();
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -177,7 +177,7 @@
         }
 
         @Override
-        public void done(boolean reusable) {
+        public void done(boolean reusable, boolean alone) {
             loop.post(() -> ended(reusable));
         }
 
--- a/src/test/java/firstair/relay/LimitsTest.java
+++ b/src/test/java/firstair/relay/LimitsTest.java
@@ -5,10 +5,12 @@
 import org.junit.jupiter.api.Test;
 
 class LimitsTest {
+    private static final long HEAP = 80_000_000;
+
     @Test
     void connectionsOfBothSidesAndOtherFilesStayWithinTheDescriptors() {
         for (int sockets : new int[] {96, 128, 1024, 4096}) {
-            Limits l = Limits.of(sockets, 3, 5, 1000, 10_000);
+            Limits l = Limits.of(sockets, 3, HEAP, 5, 1000, 10_000);
             assertThat(l.maxLinks()).as("with %s", sockets).isGreaterThan(30); // or every call opens one
             assertThat(l.maxClients() + l.maxLinks()).isLessThanOrEqualTo(sockets - 20);
         }
@@ -17,7 +19,7 @@
     @Test
     void connectionsAreClosedBeforeTheEndpointWouldHoweverShortThatIs() {
         for (double idle : new double[] {100, 300, 10_000}) {
-            Limits l = Limits.of(0, 0, 0, 0, idle);
+            Limits l = Limits.of(0, 0, HEAP, 0, 0, idle);
             assertThat(l.idleMs() + l.sweepMs()).as("idle for %s", idle).isLessThanOrEqualTo(Math.max(idle, 200));
             assertThat(l.idleMs()).isPositive();
         }
@@ -25,7 +27,7 @@
 
     @Test
     void whatIsNotToldHasAUsualFigure() {
-        Limits l = Limits.of(0, 0, 0, 0, 0);
+        Limits l = Limits.of(0, 0, HEAP, 0, 0, 0);
         assertThat(l.sockets()).isPositive();
         assertThat(l.diskBytes()).isPositive();
         assertThat(l.connectMs()).isPositive();
@@ -35,7 +37,7 @@
 
     @Test
     void anEndTakesLessThanTheTimeUntilTheKill() {
-        Limits l = Limits.of(0, 0, 0, 0, 0);
+        Limits l = Limits.of(0, 0, HEAP, 0, 0, 0);
         assertThat(l.drainAcceptMs()).isGreaterThan(400);
         assertThat(l.drainMs()).isLessThan(3700 - 500);
     }
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -7,6 +7,10 @@
 import firstair.relay.standin.Platform;
 import firstair.relay.standin.StandIn;
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -217,7 +221,8 @@
 
     @Test
     void aMessageThatWasNeverSentIsSentAfterAKill() throws Exception {
-        platform.down(true); // so that a destination that is not on the list may yet come
+        platform.down(true); // so that nothing is told of the destination whose only endpoint drains
+        node.known(Platform.list(1, true, "s1 8 " + partner.hostPort() + " draining"));
         node.start();
         assertThat(node.handIn("m1", "unsafe", 20_000, "dest=8", null, new byte[1])).contains(" 202 ");
         node.kill();
@@ -504,6 +509,130 @@
         assertThat(answer).startsWith("HTTP/1.1 404");
     }
 
+    /** Taken on it could not be sent anywhere; refused, it may be handed in where, or when, the list has it. */
+    @Test
+    void anUnknownDestinationIsTurnedAwayWhileNoListIsCurrent() throws Exception {
+        platform.down(true);
+        node.start();
+        assertThat(node.handIn("m1", "safe", 9000, "dest=99", null, new byte[1])).startsWith("HTTP/1.1 503");
+        assertThat(node.handIn("m2", "safe", 9000, DEST, null, new byte[1])).startsWith("HTTP/1.1 202");
+    }
+
+    /** What a client sends, piece by piece for ever, and the end that it sees. */
+    private double secondsUntilTheEnd(byte[] first, byte[] again) throws Exception {
+        try (Socket s = new Socket()) {
+            s.connect(node.address());
+            long from = System.nanoTime();
+            s.setSoTimeout(20);
+            InputStream in = s.getInputStream();
+            try {
+                s.getOutputStream().write(first);
+                while (System.nanoTime() - from < TimeUnit.SECONDS.toNanos(20)) {
+                    try {
+                        int b = in.read();
+                        assertThat(b).isIn(-1, (int) 'H'); // an error, or the end
+                        break;
+                    } catch (SocketTimeoutException e) {
+                        s.getOutputStream().write(again);
+                    }
+                }
+            } catch (SocketException e) {
+                // reset: an end as well
+            }
+            return (System.nanoTime() - from) / 1e9;
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {" | ", " | \\n", "POST /api HTTP/1.1\\nContent-Length: 9\\n\\nabc | ",
+        "POST /api HTTP/1.1\\nX: | y", "POST /api HTTP/1.1\\n | ", "GET | ",
+        "POST /api HTTP/1.1\\nTransfer-Encoding: chunked\\n\\n | 1\\na\\n"})
+    void aClientThatNeverSendsAWholeRequestIsEndedInTime(String text) throws Exception {
+        node.start();
+        String[] parts = (text + " ").replace("\\n", "\r\n").split("\\|");
+        assertThat(secondsUntilTheEnd(parts[0].strip().isEmpty() ? new byte[0]
+                : parts[0].stripLeading().replaceAll(" $", "").getBytes(StandardCharsets.ISO_8859_1),
+                parts[1].replace(" ", "").getBytes(StandardCharsets.ISO_8859_1))).isLessThan(3);
+    }
+
+    @Test
+    void aBodyOfManyMegabytesIsNotReadToItsEnd() throws Exception {
+        node.start();
+        byte[] much = new byte[60 << 20];
+        byte[] head = "POST /api HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        System.arraycopy(head, 0, much, 0, head.length);
+        assertThat(secondsUntilTheEnd(much, new byte[1])).isLessThan(3);
+        assertThat(node.get("/-/ready")).startsWith("HTTP/1.1 200");
+    }
+
+    /** The hidden one would be a message that no client handed in. */
+    @Test
+    void whatHidesBehindTwoLengthsIsNotRead() throws Exception {
+        node.start();
+        String hidden = node.handInText("hidden", "safe", 9000, DEST, null, 1) + "x";
+        for (String order : new String[] {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding: chunked\r\nContent-Length: " + (5 + hidden.length()) + "\r\n",
+            "Transfer-Encoding: \tchunked\r\nContent-Length: 0\r\n"}) {
+            String all = node.rawAll("POST /api HTTP/1.1\r\n" + order + "\r\n0\r\n\r\n" + hidden);
+            assertThat(all).startsWith("HTTP/1.1 400").containsOnlyOnce("HTTP/1.1").contains("Connection: close");
+        }
+        assertThat(node.handIn("m1", "safe", 9000, DEST, null, new byte[1])).startsWith("HTTP/1.1 202");
+        assertThat(call().header("request-id")).isEqualTo("m1");
+    }
+
+    @Test
+    void hundredsThatSayNothingKeepNobodyOut() throws Exception {
+        node.sockets(96);
+        node.start();
+        List<Socket> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 300; i++) {
+                Socket s = new Socket();
+                s.connect(node.address());
+                silent.add(s);
+                if (i % 50 == 49) {
+                    assertThat(node.handIn("m" + i, "safe", 9000, DEST, null, new byte[1])).startsWith("HTTP/1.1 202");
+                }
+            }
+            for (Socket s : silent) { // and each of them sees an end
+                s.setSoTimeout(3000);
+                assertThat(s.getInputStream().read()).isIn(-1, (int) 'H');
+            }
+        } finally {
+            for (Socket s : silent) {
+                s.close();
+            }
+        }
+    }
+
+    /** Its first request may be on its way when the listener closes, and has a claim to an answer. */
+    @Test
+    void aClientThatConnectedJustBeforeTheEndIsAnswered() throws Exception {
+        node.start();
+        node.terminate();
+        node.line("draining");
+        List<Socket> came = new ArrayList<>();
+        try {
+            while (true) {
+                Socket s = new Socket();
+                s.connect(node.address());
+                came.add(s);
+                TimeUnit.MILLISECONDS.sleep(20); // so that there are not thousands
+            }
+        } catch (IOException e) {
+            // the listener has closed
+        }
+        Socket last = came.get(came.size() - 2); // the very last one may not have been accepted
+        last.setSoTimeout(3000);
+        last.getOutputStream().write((node.handInText("m1", "safe", 9000, DEST, null, 1) + "x")
+                .getBytes(StandardCharsets.US_ASCII));
+        assertThat(last.getInputStream().read()).isEqualTo('H');
+        assertThat(node.ended(3500)).isTrue();
+        for (Socket s : came) {
+            s.close();
+        }
+    }
+
     @Test
     void aRequestWithoutALengthIsRefused() throws Exception {
         node.start();
--- a/src/test/java/firstair/relay/endpoints/AnswersTest.java
+++ b/src/test/java/firstair/relay/endpoints/AnswersTest.java
@@ -75,5 +75,9 @@
         assertThat(Answers.load(head(200, "Server-Load: nonsense"))).isEqualTo(Load.NONE);
         assertThat(Answers.load(head(200, "Server-Load: {\"x0\":\"a\"}"))).isEqualTo(Load.NONE);
         assertThat(Answers.load(head(200))).isEqualTo(Load.NONE);
+        for (String odd : new String[] {"-5", "1e999", "NaN", "1e300", "[[[", "null"}) { // would stop all calls
+            assertThat(Answers.load(head(200, "Server-Load: {\"x0\":" + odd + ",\"x1\":" + odd + "}")))
+                    .as(odd).isEqualTo(Load.NONE);
+        }
     }
 }
--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -27,12 +27,15 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class EndpointsTest {
     private static final double LONG_MS = 20_000;
     private static final double IDLE_MS = 300;
     private static final double HALT_MS = 5_000;
+    private static final double REST_MS = 50;
 
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -113,6 +116,8 @@
         StandIn s = endpoint(r -> r.answer(200));
         for (int i = 0; i < 5; i++) {
             assertThat(ends(LONG_MS)).isEqualTo(Result.OK);
+            double answered = loop.now();
+            Await.until("its rest over", () -> loop.now() - answered > REST_MS);
         }
         assertThat(s.accepted()).isEqualTo(1);
     }
@@ -282,6 +287,107 @@
         assertThat(ends(LONG_MS)).isEqualTo(Result.OK);
     }
 
+    private Outcome spoilt(String answer) throws Exception {
+        LinkedBlockingQueue<Integer> read = new LinkedBlockingQueue<>();
+        endpoint(r -> {
+            r.write(answer.replace("\\n", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            try {
+                read.add(r.socket().getInputStream().read());
+            } catch (IOException e) {
+                read.add(-1); // closed with bytes unread
+            }
+        });
+        call(item(1, LONG_MS, 1e9));
+        Outcome o = next();
+        assertThat(read.poll(10, TimeUnit.SECONDS)).as("the end of the connection").isEqualTo(-1);
+        assertThat(o.tookMs()).isLessThan(LONG_MS / 4);
+        return o;
+    }
+
+    /** The connection stays open and silent: nothing but what has come tells that no more will. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\\nno head\\n\\n", "HTTP/1.1 200 OK\\nContent-Length: 9\\n\\nabc",
+        "HTTP/1.1 200 OK\\nContent-Length: -4\\n\\n", "HTTP/1.1 200 OK\\nContent-Length: 3000000000\\n\\nxx",
+        "HTTP/1.1 200 OK\\nX: y\\n", "HTTP/1.1 200 OK\\n\\nno length",
+        "HTTP/1.1 200 OK\\nTransfer-Encoding: chunked\\n\\nzz\\n"})
+    void aSpoiltAnswerThatBegins200IsDeliveredAndItsConnectionDropped(String answer) throws Exception {
+        Outcome o = spoilt(answer);
+        assertThat(o.result()).isEqualTo(Result.OK);
+        assertThat(o.over()).isTrue();
+    }
+
+    /** It may say 503, but the call has run: sending an unsafe message again would do its work twice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\0\7noise", "HTTP/1.1 2", "HTTP/1.1 503 x\\nno head\\n\\n",
+        "HTTP/1.1 503 x\\nContent-Length: 9\\n\\nabc", "HTTP/1.1 429 x\\nContent-Length: 1\\n\\nabc",
+        "HTTP/1.1 410 x\\nX: y\\n", "HTTP/1.1 504 x\\nContent-Length: 1, 2\\n\\n", "HTTP/1.1 2OO x\\n\\n"})
+    void anyOtherSpoiltAnswerMayHaveRun(String answer) throws Exception {
+        Outcome o = spoilt(answer);
+        assertThat(o.result()).isEqualTo(Result.RESET);
+        assertThat(o.over()).isFalse();
+    }
+
+    @Test
+    void aWaitIsKeptThoughTheRestOfItsAnswerIsSpoilt() throws Exception {
+        Outcome o = spoilt("HTTP/1.1 429 x\\nRetry-After: 0.5\\nContent-Length: 9\\n\\nabc");
+        assertThat(o.result()).isEqualTo(Result.RESET);
+        assertThat(o.waitMs()).isEqualTo(500);
+    }
+
+    /** Behind an answer a second copy of it may come: were it taken for the next one, a message would be lost. */
+    @Test
+    void whatComesBehindAnAnswerIsNeverTheNextCallsAnswer() throws Exception {
+        BlockingQueue<StandIn.Request> calls = new LinkedBlockingQueue<>();
+        CountDownLatch first = new CountDownLatch(1);
+        StandIn s = endpoint(r -> {
+            calls.add(r);
+            if (first.getCount() > 0) {
+                r.answer(200);
+                first.countDown();
+                try {
+                    Thread.sleep(2); // the copy is a packet of its own
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                r.answer(200);
+            }
+        });
+        call(item(1, LONG_MS, 1e9));
+        assertThat(next().result()).isEqualTo(Result.OK);
+        call(item(2, 300, 1e9));
+        assertThat(next().result()).isEqualTo(Result.TIMEOUT); // it was never answered
+        assertThat(s.accepted()).isEqualTo(2);
+    }
+
+    @Test
+    void aGoodAnswerMayHaveMoreAheadAndBehind() throws Exception {
+        StandIn s = endpoint(r -> r.write(("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nServer-Load: {\"x0\":\r\n"
+                + "Content-Length: 0\r\n\r\nHTTP/1.1 500 x\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+        for (int i = 0; i < 2; i++) {
+            assertThat(ends(LONG_MS)).isEqualTo(Result.OK);
+        }
+        assertThat(s.accepted()).isEqualTo(2);
+    }
+
+    @Test
+    void anAnswerToSeveralThatIsCutShortMayHaveRunForAll() throws Exception {
+        endpoint(r -> r.answer(200, "r1 ok\r\nr2 la".getBytes(StandardCharsets.US_ASCII)));
+        call(item(1, LONG_MS, 1e9), item(2, LONG_MS, 1e9));
+        assertThat(next().result()).isEqualTo(Result.RESET);
+        assertThat(next().result()).isEqualTo(Result.RESET);
+    }
+
+    /** Its address may be another one's by now. */
+    @Test
+    void nothingIsKeptOfAnEndpointThatHasLeftTheList() throws Exception {
+        StandIn s = endpoint(r -> r.answer(200));
+        assertThat(ends(LONG_MS)).isEqualTo(Result.OK);
+        loop.post(() -> endpoints.forget(List.of("e")));
+        Await.until("its connection closed", () -> s.open() == 0);
+        assertThat(ends(LONG_MS)).isEqualTo(Result.CONNECT_FAILED);
+        assertThat(s.accepted()).isEqualTo(1);
+    }
+
     @Test
     void severalTravelTogetherAndEachHasItsOwnEnd() throws Exception {
         BlockingQueue<StandIn.Request> calls = new LinkedBlockingQueue<>();
--- a/src/test/java/firstair/relay/http/BundlesTest.java
+++ b/src/test/java/firstair/relay/http/BundlesTest.java
@@ -5,7 +5,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class BundlesTest {
     private static byte[] bytes(String text) {
@@ -22,7 +25,15 @@
 
     @Test
     void endsAreReadWithEitherLineEnd() {
-        assertThat(Bundles.read(bytes("a ok\r\nb later\nnonsense\n\nc gone")))
+        assertThat(Bundles.read(bytes("a ok\r\nb later\nc gone\r\n"), Set.of("a", "b", "c")))
                 .isEqualTo(Map.of("a", "ok", "b", "later", "c", "gone"));
     }
+
+    /** A length that does not fit cuts the text or lets other bytes in; what is left of it may be wrong as well. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a ok\r\nb lat", "a ok\r\n", "a ok\r\nb ok", "a ok\r\nb ok\r\nnoise\r\n", "",
+        "a ok\r\na ok\r\nb ok\r\n", "a ok\r\nc ok\r\n", "a ok yes\r\nb ok\r\n"})
+    void whatIsNotWholeTellsNothing(String text) {
+        assertThat(Bundles.read(bytes(text), Set.of("a", "b"))).isNull();
+    }
 }
--- a/src/test/java/firstair/relay/http/HttpParserTest.java
+++ b/src/test/java/firstair/relay/http/HttpParserTest.java
@@ -18,8 +18,14 @@
     private static final class Notes implements HttpParser.Sink {
         final List<String> messages = new ArrayList<>();
         Head head;
+        int first;
         private final StringBuilder body = new StringBuilder();
 
+        @Override
+        public void first(int status) {
+            first = status;
+        }
+
         @Override
         public void head(Head h) {
             head = h;
@@ -149,6 +155,49 @@
                 .isInstanceOfSatisfying(HttpException.class, e -> assertThat(e.status()).isEqualTo(status));
     }
 
+    /** Noise may hold no line end, and whoever waits for one holds a slot meanwhile. */
+    @Test
+    void whatCannotBeAnAnswerIsKnownByItsFirstBytes() {
+        for (String noise : new String[] {"\0\1\2", "HTTX", "\r\n\r\n", "HTTP/2", "ok"}) {
+            byte[] all = noise.getBytes(StandardCharsets.ISO_8859_1);
+            assertThatThrownBy(() -> feed(new HttpParser(HttpParser.Kind.ANSWER, MAX_HEAD, MAX_BODY, new Notes()), all,
+                    0, all.length)).as(noise).isInstanceOf(HttpException.class);
+        }
+    }
+
+    @Test
+    void bytesThatNoRequestHasAreRefusedBeforeTheLineEnds() {
+        byte[] all = {'P', 'O', 0, 7};
+        assertThatThrownBy(() -> feed(new HttpParser(HttpParser.Kind.REQUEST, MAX_HEAD, MAX_BODY, new Notes()), all, 0,
+                all.length)).isInstanceOfSatisfying(HttpException.class, e -> assertThat(e.status()).isEqualTo(400));
+    }
+
+    @Test
+    void emptyLinesBeforeARequestArePassedOverButNotForEver() throws HttpException {
+        assertThat(parse(HttpParser.Kind.REQUEST, "\n\nGET / HTTP/1.1\n\n\nGET / HTTP/1.1\n\n")).hasSize(2);
+        assertThatThrownBy(() -> parse(HttpParser.Kind.REQUEST, "\n\n\n")).isInstanceOf(HttpException.class);
+    }
+
+    @Test
+    void theFirstLineOfAnAnswerIsToldThoughItsHeadIsNoHead() throws HttpException {
+        Notes notes = new Notes();
+        HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER, MAX_HEAD, MAX_BODY, notes);
+        byte[] interim = bytes("HTTP/1.1 102 Wait\n\n");
+        feed(parser, interim, 0, interim.length);
+        assertThat(notes.first).isZero();
+        byte[] all = bytes("HTTP/1.1 200 OK\nno head\n");
+        assertThatThrownBy(() -> feed(parser, all, 0, all.length)).isInstanceOf(HttpException.class);
+        assertThat(notes.first).isEqualTo(200);
+    }
+
+    @Test
+    void answersWithoutEndAreNotReadForEver() {
+        assertThatThrownBy(() -> parse(HttpParser.Kind.ANSWER, "HTTP/1.1 200 OK\n\n" + "x".repeat(MAX_BODY + 1)))
+                .isInstanceOf(HttpException.class);
+        assertThatThrownBy(() -> parse(HttpParser.Kind.ANSWER, "HTTP/1.1 100 Continue\n\n".repeat(MAX_HEAD / 20)))
+                .isInstanceOf(HttpException.class);
+    }
+
     @Test
     void endlessHeadersAreRefused() {
         assertThatThrownBy(() -> parse(HttpParser.Kind.REQUEST, "GET / HTTP/1.1\nx: " + "y".repeat(MAX_HEAD)))
--- a/src/test/java/firstair/relay/platform/NoticesTest.java
+++ b/src/test/java/firstair/relay/platform/NoticesTest.java
@@ -32,7 +32,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        limits = Limits.of(0, 0, 0, 0, 0);
+        limits = Limits.of(0, 0, 64_000_000, 0, 0, 0);
         wire = new Wire(limits);
         loop = LoopThread.start(() -> {
             if (notices != null) {
--- a/src/test/java/firstair/relay/standin/Node.java
+++ b/src/test/java/firstair/relay/standin/Node.java
@@ -35,6 +35,7 @@
     private final List<String> log = new ArrayList<>();
     private String config;
     private int diskMb = 3;
+    private int sockets = 1024;
     private String listen = "127.0.0.1:0";
     private Process process;
     private Thread reader;
@@ -52,6 +53,16 @@
         diskMb = mb;
     }
 
+    /** Descriptors that it may hold. */
+    public void sockets(int most) {
+        sockets = most;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
     /** Where it is to listen. */
     public void listen(String at) {
         listen = at;
@@ -89,14 +100,6 @@
         return Path.of(of.getProtectionDomain().getCodeSource().getLocation().toURI()).toString();
     }
 
-    /** The flags with which a deployment runs it. */
-    private static List<String> flags() throws IOException {
-        try (Stream<String> lines = Files.lines(Path.of("deploy", "balancer.toml"))) {
-            String run = lines.filter(l -> l.startsWith("run =")).findFirst().orElseThrow();
-            return Stream.of(run.split("[\" ]+")).filter(w -> w.startsWith("-X")).toList();
-        }
-    }
-
     /** Where discovery is from the next writing of the configuration on. */
     public void discovery(String at) {
         discovery = at;
@@ -114,7 +117,8 @@
         Files.writeString(draft, config != null ? config : "{\"name\":\"n0\",\"listen\":\"" + listen
                 + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-                + "\"sockets\":1024,\"disk_mb\":" + diskMb + "},\"known\":" + known + ",\"settings\":" + settings()
+                + "\"sockets\":" + sockets + ",\"disk_mb\":" + diskMb + "},\"known\":" + known
+                + ",\"settings\":" + settings()
                 + "}");
         return Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE);
     }
@@ -123,12 +127,12 @@
     public void launch() throws Exception {
         Files.createDirectories(state());
         Path file = write();
-        List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(flags());
-        command.addAll(List.of("-cp", String.join(System.getProperty("path.separator"), place(Main.class),
-                place(Grizzly.class), place(Gson.class)), "firstair.Main", "serve"));
+        List<String> command = List.of("sh", Path.of("deploy", "run.sh").toString(), "-cp",
+                String.join(System.getProperty("path.separator"), place(Main.class), place(Grizzly.class),
+                        place(Gson.class)), "firstair.Main", "serve"); // as a deployment runs it
         ProcessBuilder b = new ProcessBuilder(command);
+        b.environment().merge("PATH", Path.of(System.getProperty("java.home"), "bin").toString(),
+                (path, java) -> java + System.getProperty("path.separator") + path);
         b.environment().put("ROUTER_CONFIG", file.toString());
         b.environment().put("ROUTER_STATE", state().toString());
         b.redirectErrorStream(true);
