--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -31,7 +31,7 @@
     private static final double SELDOM = 0.5;              // calls a second; who calls less is one of many
     private static final int SELDOM_DOWN_AFTER = 2;        // failures in a row for it; all add up at a return
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
-    private static final double DEAD = 0.1;                // part of a usual call; who breaks so soon was dead
+    private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
     private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
