In a crowd no client's connection is kept without need

Checked: counters by reason (nothing refused by the module, the store, the list or for room) and the state of each connection in two probes: up to 50 silent ones and 150 served once and idle at a relay, more than the third of the descriptors that clients hold. Ruled out: the restarts, the CPU, the module. Change: beyond a sixth of the descriptors answers carry Connection: close and silent clients end after 0.5 s; idle ones after 2 s always.

--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -9,6 +9,7 @@
  * @param maxBody         bytes of a message at most
  * @param maxHead         bytes of start line and headers at most
  * @param maxClients      connections of clients at most
+ * @param crowd           connections of clients from which on none is kept without need
  * @param maxLinks        connections to endpoints at most, idle ones counted
  * @param readBuffer      bytes read from a socket at once
  * @param backlog         connections that may wait to be accepted
@@ -22,6 +23,7 @@
  * @param restMs          how long a connection that carried an answer is left alone before the next call
  * @param firstMs         within it a client that has just connected is waited for, whatever else wants its place
  * @param requestMs       until a client must have sent a request, from its connecting or from the request's begin
+ * @param crowdedMs       the same while there is a crowd, for a client that has sent nothing
  * @param clientIdleMs    until a client's connection without a request is closed
  * @param lingerMs        how long a refused client may still send before its connection is cut
  * @param lingerBytes     how much a refused client may still send before that
@@ -36,10 +38,10 @@
  * @param drainCallsMs    how long it makes calls for what it holds
  * @param drainMs         until it ends at the latest
  */
-public record Limits(int sockets, long diskBytes, int maxBody, int maxHead, int maxClients, int maxLinks,
+public record Limits(int sockets, long diskBytes, int maxBody, int maxHead, int maxClients, int crowd, int maxLinks,
         int readBuffer, int backlog, double roundMs, double connectMs, double idleMs, double haltMs, double sweepMs,
-        double emptyMs, double answerMs, double restMs, double firstMs, double requestMs, double clientIdleMs,
-        double lingerMs, int lingerBytes, double listAnswerMs, double listSilenceMs, int listLine,
+        double emptyMs, double answerMs, double restMs, double firstMs, double requestMs, double crowdedMs,
+        double clientIdleMs, double lingerMs, int lingerBytes, double listAnswerMs, double listSilenceMs, int listLine,
         double noticeAnswerMs, double noticePauseMs, double noticePauseMostMs, int noticeBytes, double drainAcceptMs,
         double drainCallsMs, double drainMs) {
 
@@ -61,6 +63,7 @@
     // Sizes and counts.
     private static final int OTHER_FILES = 32;           // 17 at rest: jars, selector, store, listener, discovery
     private static final double CLIENT_SHARE = 0.5;      // of all other descriptors
+    private static final double CROWD_SHARE = 1.0 / 6;   // of all descriptors: half of what clients hold at most
     private static final double HEAP_SHARE = 0.5;        // of the heap, for what clients are sending
     private static final int READ_BUFFER = 16 * KIB;     // most requests come in one read
     private static final int BACKLOG = 512;              // as many as may be open
@@ -74,7 +77,8 @@
     private static final double REST_MS = 20;            // what belongs to an answer comes with it or right behind
     private static final double FIRST_MS = 200;          // half of what a client waits for an answer
     private static final double REQUEST_MS = 2000;       // a client waits for 400 ms; this one is broken or hostile
-    private static final double CLIENT_IDLE_MS = 3000;   // kept for many requests a second, not for a visit in hours
+    private static final double CROWDED_MS = 500;        // longer than any client waits for an answer
+    private static final double CLIENT_IDLE_MS = 2000;   // kept for many requests a second, not for a visit in hours
     private static final double LINGER_MS = 500;         // for what a refused client has already sent
     private static final int LINGER_BYTES = 256 * KIB;   // the same, with what the system still held
     private static final double NOTICE_PAUSE_MS = 50;
@@ -93,11 +97,11 @@
         int clients = (int) Math.min(connections * CLIENT_SHARE, heapBytes * HEAP_SHARE / (MAX_BODY + MAX_HEAD));
         double idle = connectionIdleMs > 0 ? connectionIdleMs : USUAL_IDLE_MS;
         return new Limits(open, (diskMb > 0 ? diskMb : USUAL_DISK_MB) * BYTES_PER_MB, MAX_BODY, MAX_HEAD, clients,
-                connections - clients, READ_BUFFER, BACKLOG, Math.max(0, roundMs),
-                connectMs > 0 ? connectMs : USUAL_CONNECT_MS, Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS,
-                SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS, REQUEST_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES,
-                LIST_SILENCE_MS, LIST_SILENCE_MS, LIST_LINE, NOTICE_ANSWER_MS,
-                NOTICE_PAUSE_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, DRAIN_ACCEPT_MS,
+                (int) Math.min(clients / 2, open * CROWD_SHARE), connections - clients, READ_BUFFER, BACKLOG,
+                Math.max(0, roundMs), connectMs > 0 ? connectMs : USUAL_CONNECT_MS,
+                Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
+                REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_SILENCE_MS, LIST_SILENCE_MS,
+                LIST_LINE, NOTICE_ANSWER_MS, NOTICE_PAUSE_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, DRAIN_ACCEPT_MS,
                 DRAIN_CALLS_MS, DRAIN_MS);
     }
 }
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -9,6 +9,7 @@
 import firstair.relay.net.Wire;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Connection;
 
 /** One client's connection: its requests one after another, each answered before the next is looked at. */
@@ -22,6 +23,7 @@
     private final Connection<?> connection;
     private final Limits limits;
     private final Desk desk;
+    private final BooleanSupplier crowded;
     private final HttpParser parser;
     private Phase phase = Phase.OPEN;
     private boolean answering;     // a request awaits its answer
@@ -34,10 +36,12 @@
     private double endingSince;
     private long discarded;        // bytes that came after a refusal
 
-    ClientConnection(Connection<?> connection, Limits limits, Desk desk) {
+    /** @param crowded whether clients hold so many connections that none is to be kept without need */
+    ClientConnection(Connection<?> connection, Limits limits, Desk desk, BooleanSupplier crowded) {
         this.connection = connection;
         this.limits = limits;
         this.desk = desk;
+        this.crowded = crowded;
         this.quietSince = desk.now();
         this.begunAt = quietSince;
         this.parser = new HttpParser(HttpParser.Kind.REQUEST, limits.maxHead(), limits.maxBody(), new Collector() {
@@ -172,7 +176,8 @@
         if (phase != Phase.OPEN || !answering) {
             return;
         }
-        boolean close = last || draining;
+        // Clients that ask once and stay, or open one for each request, would take all that clients may have.
+        boolean close = last || draining || crowded.getAsBoolean();
         HttpWriter w = HttpWriter.answer(status);
         if (retryAfterMs > 0) {
             w.header("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S));
@@ -233,7 +238,8 @@
             close();
         } else if (phase == Phase.OPEN && !answering) {
             boolean waitsForMore = !served || !parser.between();
-            if (waitsForMore && now - begunAt > limits.requestMs()) {
+            boolean silent = !served && parser.between() && crowded.getAsBoolean();
+            if (waitsForMore && now - begunAt > (silent ? limits.crowdedMs() : limits.requestMs())) {
                 last = true;
                 answering = true;
                 answer(408, 0); // also where nothing came: it may cross a first request, which is owed an answer
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -625,6 +625,34 @@
         }
     }
 
+    /** Clients that keep what they do not need would leave the others none of what clients may hold. */
+    @Test
+    void inACrowdNoConnectionIsKeptWithoutNeed() throws Exception {
+        node.sockets(192);
+        node.start();
+        String ask = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+        assertThat(node.raw(ask)).doesNotContain("Connection: close");
+        List<Socket> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 50; i++) {
+                Socket s = new Socket();
+                s.connect(node.address());
+                silent.add(s);
+            }
+            assertThat(node.rawAll(ask)).startsWith("HTTP/1.1 200").contains("Connection: close"); // and it is closed
+            long from = System.nanoTime();
+            for (Socket s : silent.subList(0, 10)) { // the first of the crowd
+                s.setSoTimeout(5000);
+                assertThat(s.getInputStream().read()).isIn(-1, (int) 'H');
+            }
+            assertThat(System.nanoTime() - from).isLessThan(TimeUnit.MILLISECONDS.toNanos(1500));
+        } finally {
+            for (Socket s : silent) {
+                s.close();
+            }
+        }
+    }
+
     /** Its first request may be on its way when the listener closes, and has a claim to an answer. */
     @Test
     void aClientThatConnectedJustBeforeTheEndIsAnswered() throws Exception {
--- a/src/test/java/firstair/relay/standin/ShortTimes.java
+++ b/src/test/java/firstair/relay/standin/ShortTimes.java
@@ -21,9 +21,10 @@
     }
 
     private static Limits with(Limits l, int maxLinks, double idleMs, double haltMs, double listMs) {
-        return new Limits(l.sockets(), l.diskBytes(), l.maxBody(), l.maxHead(), l.maxClients(), maxLinks,
+        return new Limits(l.sockets(), l.diskBytes(), l.maxBody(), l.maxHead(), l.maxClients(), l.crowd(), maxLinks,
                 l.readBuffer(), l.backlog(), l.roundMs(), l.connectMs(), idleMs, haltMs, l.sweepMs(),
-                l.emptyMs(), l.answerMs(), l.restMs(), l.firstMs(), l.requestMs(), l.clientIdleMs(), l.lingerMs(),
+                l.emptyMs(), l.answerMs(), l.restMs(), l.firstMs(), l.requestMs(), l.crowdedMs(),
+                l.clientIdleMs(), l.lingerMs(),
                 l.lingerBytes(), listMs, listMs, l.listLine(), l.noticeAnswerMs(), l.noticePauseMs(),
                 l.noticePauseMostMs(), l.noticeBytes(), l.drainAcceptMs(), l.drainCallsMs(),
                 l.drainMs());
