Dead kept connections are no sign of sickness

Checked: the probe of kept connections (18 in a hundred of their next calls are reset, nearly all within 1 ms, which is a tenth of no usual call); three in a row make an endpoint down in Control.judge. Ruled out: longer pauses (no pause after the first has been measured), new connections for each call (three times the handshakes). Change: such a reset no longer counts for health.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -289,7 +289,10 @@
             double until = now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS;
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
-        if (!c.judged) {
+        // A kept connection that was dead: no sign of sickness, no need of a pause. Failed connects do count.
+        double usual = usual(m.dest, m.type);
+        boolean dead = how == Result.RESET && c.kept && o.tookMs() < DEAD * usual;
+        if (!c.judged && !dead) {
             c.judged = true; // a shared call has one fate: count it once
             judge(now, o, c, m);
         }
@@ -307,12 +310,9 @@
             m.doubtZone = e.zone;
         }
         double wait = Math.max(now, e.unit.waitUntil) - now;
-        // A kept connection that was dead says nothing of the destination: the one pause that nobody needs.
-        double usual = usual(m.dest, m.type);
-        boolean dead = how == Result.RESET && c.kept && m.tries == 1 && o.tookMs() < DEAD * usual;
-        double pause = dead ? 0 : jittered(FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++));
+        double next = dead && m.tries == 1 ? 0 : FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++);
         double left = m.m.deadlineAt() - now - wait - usual;
-        m.notBefore = now + wait + Math.max(0, Math.min(pause, left / 2));
+        m.notBefore = now + wait + Math.max(0, Math.min(jittered(next), left / 2));
     }
 
     /** What one call tells of its endpoint and its unit. */
--- a/src/test/java/firstair/control/MechanismTest.java
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -44,6 +44,24 @@
         assertThat(b.out).isEmpty(); // but once only, and a new connection that breaks is another matter
     }
 
+    /** Held to be sick, a healthy endpoint would be ramped up for seconds. */
+    @Test
+    void deadKeptConnectionsAreNoSignOfSickness() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE)).endpoints("1/0/a");
+        for (int i = 0; i < 6; i++) {
+            b.take(0, 1);
+        }
+        b.run(400, Result.OK, 300);
+        for (int i = 0; i < 6; i++) {
+            b.take(0, 1);
+        }
+        b.decide();
+        b.now += 2;
+        b.endAll(Result.RESET, 0);
+        b.run(1_000, Result.OK, 300);
+        assertThat(b.reports).isEmpty();
+    }
+
     @Test
     void pausesVaryWithTheSeed() {
         double[] at = new double[2];
