--- a/src/test/java/firstair/relay/standin/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -1,4 +1,4 @@
-package firstair.relay.standin;
+package firstair.kit.run;
 
 import com.google.gson.Gson;
 import firstair.Main;
@@ -37,6 +37,7 @@
     private int diskMb = 3;
     private int sockets = 1024;
     private String listen = "127.0.0.1:0";
+    private int niceness;
     private Process process;
     private Thread reader;
     private InetSocketAddress address;
@@ -58,6 +59,11 @@
         sockets = most;
     }
 
+    /** How much less than others it gets of the cores, from 0 to 19. */
+    public void niceness(int by) {
+        niceness = by;
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return address;
@@ -127,7 +133,8 @@
     public void launch() throws Exception {
         Files.createDirectories(state());
         Path file = write();
-        List<String> command = List.of("sh", Path.of("deploy", "run.sh").toString(), "-cp",
+        List<String> command = List.of("nice", "-n", String.valueOf(niceness), "sh",
+                Path.of("deploy", "run.sh").toString(), "-cp",
                 String.join(System.getProperty("path.separator"), place(Main.class), place(Grizzly.class),
                         place(Gson.class)), "firstair.Main", "serve"); // as a deployment runs it
         ProcessBuilder b = new ProcessBuilder(command);
@@ -187,6 +194,13 @@
         }
     }
 
+    /** What this start has logged so far. */
+    public List<String> lines() {
+        synchronized (log) {
+            return List.copyOf(log);
+        }
+    }
+
     /** The log of a start that has ended. */
     public List<String> log() throws InterruptedException {
         reader.join(TimeUnit.SECONDS.toMillis(WAIT_S));
@@ -222,16 +236,36 @@
 
     /** The most memory that it held so far, in KiB; 0 where the system does not tell. */
     public long mostMemoryKb() throws IOException {
+        return status("VmHWM:");
+    }
+
+    private long status(String field) throws IOException {
         Path status = Path.of("/proc", String.valueOf(process.pid()), "status");
         if (!Files.exists(status)) {
             return 0;
         }
         try (Stream<String> lines = Files.lines(status)) {
-            return lines.filter(l -> l.startsWith("VmHWM:")).findFirst()
+            return lines.filter(l -> l.startsWith(field)).findFirst()
                     .map(l -> Long.parseLong(l.replaceAll("\\D", ""))).orElse(0L);
         }
     }
 
+    /** Open descriptors, or 0 where the system does not tell. */
+    public int descriptors() throws IOException {
+        Path all = Path.of("/proc", String.valueOf(process.pid()), "fd");
+        if (!Files.exists(all)) {
+            return 0;
+        }
+        try (Stream<Path> each = Files.list(all)) {
+            return (int) each.count();
+        }
+    }
+
+    /** Memory that it holds now, in KiB; 0 where the system does not tell. */
+    public long memoryKb() throws IOException {
+        return status("VmRSS:");
+    }
+
     /** The folder that lasts. */
     public Path state() {
         return folder.resolve("state");
--- a/src/test/java/firstair/relay/standin/StandIn.java
+++ b/src/main/java/firstair/kit/standin/StandIn.java
@@ -1,4 +1,4 @@
-package firstair.relay.standin;
+package firstair.kit.standin;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -16,7 +16,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A small HTTP/1.1 server for tests, on a port of its own: one thread a connection, one handler for all. */
+/**
+ * A small HTTP/1.1 server that plays a peer, on a loopback port of its own: one thread a connection, one handler for
+ * all. What a handler leaves unanswered stays open and silent.
+ */
 public class StandIn implements AutoCloseable {
     /** What came, and the connection to answer on. */
     public record Request(Socket socket, String method, String target, Map<String, String> headers, byte[] body) {
@@ -139,6 +142,11 @@
         return null;
     }
 
+    /** Takes no new connection from now on; those that are open go on. */
+    public void refuse() throws IOException {
+        server.close();
+    }
+
     /** Connections that came so far. */
     public int accepted() {
         return accepted.get();
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -3,9 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import firstair.relay.standin.Await;
-import firstair.relay.standin.Node;
+import firstair.kit.run.Node;
 import firstair.relay.standin.Platform;
-import firstair.relay.standin.StandIn;
+import firstair.kit.standin.StandIn;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -10,7 +10,7 @@
 import firstair.relay.standin.Await;
 import firstair.relay.standin.LoopThread;
 import firstair.relay.standin.ShortTimes;
-import firstair.relay.standin.StandIn;
+import firstair.kit.standin.StandIn;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/test/java/firstair/relay/platform/NoticesTest.java
+++ b/src/test/java/firstair/relay/platform/NoticesTest.java
@@ -6,7 +6,7 @@
 import firstair.relay.Loop;
 import firstair.relay.net.Wire;
 import firstair.relay.standin.LoopThread;
-import firstair.relay.standin.StandIn;
+import firstair.kit.standin.StandIn;
 import firstair.relay.store.Owed;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/firstair/relay/standin/Platform.java
+++ b/src/test/java/firstair/relay/standin/Platform.java
@@ -1,5 +1,6 @@
 package firstair.relay.standin;
 
+import firstair.kit.standin.StandIn;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
