Notices go a second time over a fresh connection inside their time; faults below are told

Need: a post that hung kept everything owed behind it for 250 ms and a pause of up to a second, and a transport that throws would have stopped notices, the list or a call for good. Change: NoticePlan, a decision class without I/O, clock or thread: what a post carries goes again over a connection of its own after a third of the time left (60 ms at least); up to eight posts; halves on a 400; pauses only for the place itself and short while anything can be in time; one event for what could not be. Links come from a Dialer and never throw; times are set before anything is opened. A configuration that cannot be used after a SIGHUP is read again for a second.

--- a/src/main/java/firstair/kit/soak/Soak.java
+++ b/src/main/java/firstair/kit/soak/Soak.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ExecutorService;
@@ -151,13 +152,18 @@
             one("m" + plan.seed() + "-" + number++);
         }
         TimeUnit.SECONDS.sleep(5); // longer than any message here lives
+        clock.shutdownNow();
+        clock.awaitTermination(1, TimeUnit.SECONDS);
         judge(true);
         tell(started);
+        Map<String, Integer> told = new TreeMap<>();
         for (String l : node.lines()) {
             if (l.contains("SEVERE") || l.contains("fault") || l.contains("WARNING")) {
-                System.out.println("  log: " + l);
+                told.merge(l.replaceAll("^\\S+ ", "").replaceAll("\\d+", "N"), 1, Integer::sum);
             }
         }
+        told.forEach((l, n) -> System.out.println("  log, " + n + " times: " + l));
+        System.out.println("  connections for notices: " + platform.drawn());
         node.kill();
         boolean kept = lost.get() == 0 && endless.get() == 0 && taken.get() > 0;
         System.out.printf(Locale.ROOT, "%s: taken %d, delivered %d, by notice %d, lost %d, without an end %d; "
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -30,10 +30,9 @@
  * @param listAnswerMs    until discovery must have begun an answer
  * @param listSilenceMs   silence after which a watch is dead
  * @param listLine        bytes of one line of a watch at most
- * @param noticeAnswerMs  until the platform must have answered a notice
- * @param noticePauseMs   first pause before a notice is repeated; it doubles
- * @param noticePauseMostMs longest such pause
- * @param noticeBytes     bytes of one post of notices at most
+ * @param notices         of notices to the platform
+ * @param overdueMs       after its time, from which a message that has no end is taken for lost by a fault of ours
+ * @param reloadMs        how long a configuration that cannot be used is read again after a SIGHUP
  * @param drainAcceptMs   how long a relay that was told to end still accepts connections
  * @param drainCallsMs    how long it makes calls for what it holds
  * @param drainMs         until it ends at the latest
@@ -42,8 +41,23 @@
         int readBuffer, int backlog, double roundMs, double connectMs, double idleMs, double haltMs, double sweepMs,
         double emptyMs, double answerMs, double restMs, double firstMs, double requestMs, double crowdedMs,
         double clientIdleMs, double lingerMs, int lingerBytes, double listAnswerMs, double listSilenceMs, int listLine,
-        double noticeAnswerMs, double noticePauseMs, double noticePauseMostMs, int noticeBytes, double drainAcceptMs,
-        double drainCallsMs, double drainMs) {
+        Notices notices, double overdueMs, double reloadMs, double drainAcceptMs, double drainCallsMs, double drainMs) {
+
+    /**
+     * Of notices to the platform.
+     *
+     * @param dueMs         after a message's time, until which its notice is in time
+     * @param returnMs      after a start, until which the notices taken up again are in time
+     * @param answerMs      until a post without an answer is given up
+     * @param leastMs       least time until what an unanswered post carries goes a second time as well
+     * @param pauseMs       first pause after a post that failed; it doubles
+     * @param urgentPauseMs longest such pause while any notice can still be in time
+     * @param pauseMostMs   longest such pause otherwise
+     * @param bytes         bytes of one post at most
+     * @param posts         posts that may be out
+     */
+    public record Notices(double dueMs, double returnMs, double answerMs, double leastMs, double pauseMs,
+            double urgentPauseMs, double pauseMostMs, int bytes, int posts) { }
 
     private static final int KIB = 1024;
     private static final long BYTES_PER_MB = 1_000_000;  // the smaller reading of a megabyte
@@ -56,7 +70,9 @@
     private static final int MAX_BODY = 64 * KIB;
     private static final int MAX_HEAD = 16 * KIB;        // many times what clients and endpoints send
     private static final double LIST_SILENCE_MS = 3000;  // lines come every 2 s, changes count as told after 6 s
-    private static final double NOTICE_ANSWER_MS = 250;  // answered at once, and due 300 ms after a message's time
+    private static final double NOTICE_DUE_MS = 300;     // after a message's time
+    private static final double NOTICE_RETURN_MS = 1500; // after a relay is ready again
+    private static final double NOTICE_ANSWER_MS = 250;  // answered at once; a later answer comes too late
     private static final double DRAIN_ACCEPT_MS = 450;   // connections still come for up to 400 ms after SIGTERM
     private static final double DRAIN_CALLS_MS = 2300;   // so that a call has usually ended by then
     private static final double DRAIN_MS = 3000;         // SIGKILL comes 3.7 s after SIGTERM at the soonest
@@ -81,8 +97,13 @@
     private static final double CLIENT_IDLE_MS = 2000;   // kept for many requests a second, not for a visit in hours
     private static final double LINGER_MS = 500;         // for what a refused client has already sent
     private static final int LINGER_BYTES = 256 * KIB;   // the same, with what the system still held
-    private static final double NOTICE_PAUSE_MS = 50;
+    private static final double NOTICE_LEAST_MS = 60;    // several answers; four tries fit into what is left
+    private static final double NOTICE_PAUSE_MS = 25;
+    private static final double NOTICE_URGENT_MS = 75;   // a platform that comes back is found in time
     private static final double NOTICE_PAUSE_MOST_MS = 1000;
+    private static final int NOTICE_POSTS = 8;           // several thousand notices at one moment
+    private static final double OVERDUE_MS = 150;        // after calls are halted; leaves as much for the notice
+    private static final double RELOAD_MS = 1000;        // a file is written in less, and 4 s may pass until it counts
 
     /**
      * The limits for what a deployment allows; 0 stands for a figure that it does not tell.
@@ -101,7 +122,8 @@
                 Math.max(0, roundMs), connectMs > 0 ? connectMs : USUAL_CONNECT_MS,
                 Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
                 REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_SILENCE_MS, LIST_SILENCE_MS,
-                LIST_LINE, NOTICE_ANSWER_MS, NOTICE_PAUSE_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, DRAIN_ACCEPT_MS,
-                DRAIN_CALLS_MS, DRAIN_MS);
+                LIST_LINE, new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS, NOTICE_ANSWER_MS, NOTICE_LEAST_MS,
+                NOTICE_PAUSE_MS, NOTICE_URGENT_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS), OVERDUE_MS, RELOAD_MS,
+                DRAIN_ACCEPT_MS, DRAIN_CALLS_MS, DRAIN_MS);
     }
 }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -28,9 +28,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.glassfish.grizzly.Connection;
 
@@ -84,6 +87,7 @@
     private final List<Send> sends = new ArrayList<>();           // asked for in this round
     private final Object reloading = new Object();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private double returnedAt = Double.NEGATIVE_INFINITY; // when this process took up what the last one left
     private long nextId;
     private boolean listen;
     private Connection<?> listener;
@@ -104,7 +108,7 @@
         nextId = store.lastId() + 1;
         wire = new Wire(limits);
         endpoints = new Endpoints(wire, limits, loop, this::ended);
-        notices = new Notices(wire, limits, loop, config.discovery(), store::over);
+        notices = new Notices(wire, limits, loop, config.discovery(), new Random(config.seed()), store::over);
         Listed known = config.known();
         watch = new Watch(wire, limits, loop, config.discovery(), config.kinds(), config.zones(),
                 known == null ? -1 : known.version(), this::news);
@@ -153,26 +157,48 @@
 
     /**
      * Reads the configuration again and follows discovery to where it is now: for a signal's thread. What was taken
-     * on is not touched. One that cannot be used changes nothing; what else it changes waits for the next start.
+     * on is not touched. A file that cannot be used may be one that is being written: it is read again for a little.
+     * One that stays so changes nothing; what else a usable one changes waits for the next start.
      */
     public void reload(Supplier<Config> read) {
         synchronized (reloading) { // the last of several signals must win
-            try {
-                Config next = read.get();
-                loop.post(() -> moved(next));
-            } catch (ConfigException e) {
-                LOG.warning(e.getMessage() + "; the configuration read before stays");
+            long end = System.nanoTime() + (long) (limits.reloadMs() * 1e6);
+            while (true) {
+                String why;
+                try {
+                    Config next = read.get();
+                    loop.post(() -> moved(next));
+                    return;
+                } catch (ConfigException e) {
+                    why = e.getMessage();
+                } catch (RuntimeException e) {
+                    why = "configuration: " + e;
+                }
+                if (System.nanoTime() > end || !paused()) {
+                    LOG.warning(why + "; the configuration read before stays");
+                    return;
+                }
             }
         }
     }
 
+    private boolean paused() {
+        try {
+            TimeUnit.MILLISECONDS.sleep((long) limits.sweepMs());
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private void moved(Config next) {
         if (!next.limits().equals(config.limits()) || !next.settings().equals(config.settings())
                 || !next.listen().equals(config.listen())) {
             LOG.warning("configuration read again: limits, settings and listen change with the next start only");
         }
         LOG.info("configuration read again, discovery at " + HostPort.of(next.discovery()));
-        watch.move(next.discovery());
+        loop.post(() -> watch.move(next.discovery())); // by itself: a fault in one must not leave both at the old place
         notices.move(next.discovery());
     }
 
@@ -181,11 +207,12 @@
     /** What the last process had not ended: what is owed by now, and what goes on with its history. */
     private void resume() {
         double now = loop.now();
+        returnedAt = now;
         long wall = System.currentTimeMillis();
         for (Store.Open o : store.open()) {
             Taken t = o.taken();
             if (o.owed() != null) {
-                notices.add(t.id(), t.requestId(), o.owed());
+                notices.add(t.id(), t.requestId(), o.owed(), now + limits.notices().returnMs());
                 continue;
             }
             Integer type = classes.get(t.className());
@@ -222,9 +249,32 @@
     }
 
     private void sweep() {
+        loop.after(limits.sweepMs(), this::sweep); // first, so that a fault in one sweep is not the end of all
         clients.sweep();
         endpoints.sweep();
-        loop.after(limits.sweepMs(), this::sweep);
+        notices.sweep();
+        endOverdue();
+    }
+
+    /**
+     * Decisions and peers end every message before its time. Should a fault of ours lose one between them, its
+     * client waits for an end that nobody would tell: it is given up, which promises nothing about its effect.
+     */
+    private void endOverdue() {
+        double before = loop.now() - limits.overdueMs();
+        if (resting || before < returnedAt + limits.notices().returnMs()) {
+            return; // the next start's; or what came back with this one is looked at in its first rounds
+        }
+        List<Held> overdue = held.values().stream().filter(h -> h.deadlineAt < before).toList();
+        if (overdue.isEmpty()) {
+            return;
+        }
+        LOG.severe(overdue.size() + " messages without an end " + Math.round(limits.overdueMs())
+                + " ms after their time, the first is " + overdue.get(0).taken.requestId() + "; given up");
+        for (Held h : overdue) {
+            control.withdrawn(loop.now(), h.taken.id());
+            giveUp(h.taken.id());
+        }
     }
 
     // ---- events ----
@@ -251,7 +301,24 @@
 
     @Override
     public void handIn(HandIn h) {
-        loop.post(() -> take(h));
+        loop.post(() -> {
+            try {
+                take(h);
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "fault while taking a message", e);
+                untaken(h);
+            }
+        });
+    }
+
+    /** Nothing has been sent for it yet: its client is refused, and nobody keeps a part of it. */
+    private void untaken(HandIn h) {
+        Long id = ids.get(h.requestId());
+        if (id != null && held.get(id).client == h) {
+            fresh.remove(release(id));
+            control.withdrawn(loop.now(), id);
+        }
+        h.answer(REFUSED, 0);
     }
 
     private void take(HandIn h) {
@@ -348,6 +415,9 @@
         }
         for (Send s : sends) {
             Held h = held.get(s.id());
+            if (h == null) {
+                continue; // a fault has ended it meanwhile
+            }
             int attempt = store.called(s.id(), s.endpoint(), wall);
             planned.add(new Planned(s.endpoint(), new Item(s.id(), attempt, h.taken.requestId(), h.taken.key(),
                     h.taken.body(), s.timeoutMs(), h.deadlineAt)));
@@ -407,13 +477,22 @@
             Place place = places.get(p.endpoint());
             int most = place == null ? 1 : place.bundleMax();
             if (batch.size() >= most || !batch.isEmpty() && bytes > limits.maxBody()) {
-                endpoints.call(p.endpoint(), batch);
+                call(p.endpoint(), batch);
                 batch = new ArrayList<>();
                 batches.put(p.endpoint(), batch);
             }
             batch.add(p.item());
         }
-        batches.forEach(endpoints::call);
+        batches.forEach(this::call);
+    }
+
+    /** A fault under one call must not take the calls behind it along, nor leave its own messages without an end. */
+    private void call(String endpoint, List<Item> batch) {
+        try {
+            endpoints.call(endpoint, batch);
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "fault under a call", e);
+        }
     }
 
     // ---- what the decisions ask for ----
@@ -449,7 +528,8 @@
             h.client = null;
         } else {
             store.owed(id, notice);
-            notices.add(id, h.taken.requestId(), notice);
+            double dueAt = Math.max(h.deadlineAt + limits.notices().dueMs(), returnedAt + limits.notices().returnMs());
+            notices.add(id, h.taken.requestId(), notice, dueAt);
         }
     }
 
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -232,6 +232,13 @@
         answer(503, 0);
     }
 
+    /** Answers that we failed, and ends: a fault of ours has cut its request short, and nothing was taken on. */
+    synchronized void fault() {
+        last = true;
+        answering = true;
+        answer(500, 0);
+    }
+
     /** Ends it if it says nothing, or takes too long over a request or over its end. */
     synchronized void sweep(double now) {
         if (phase == Phase.ENDING && now - endingSince > limits.lingerMs()) {
--- a/src/main/java/firstair/relay/clients/ClientFilter.java
+++ b/src/main/java/firstair/relay/clients/ClientFilter.java
@@ -4,6 +4,8 @@
 import firstair.relay.net.Wire;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -15,6 +17,8 @@
     private static final Attribute<ClientConnection> CLIENT =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("firstair.client");
 
+    private static final Logger LOG = Logger.getLogger(ClientFilter.class.getName());
+
     private final Limits limits;
     private final Desk desk;
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
@@ -63,7 +67,12 @@
         if (client == null || client.discards(Wire.size(ctx))) {
             Wire.drop(ctx);
         } else {
-            client.received(Wire.bytes(ctx));
+            try {
+                client.received(Wire.bytes(ctx));
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "fault in a request", e);
+                client.fault(); // without an answer its client could not know what became of it
+            }
         }
         return ctx.getStopAction();
     }
--- a/src/main/java/firstair/relay/discovery/Watch.java
+++ b/src/main/java/firstair/relay/discovery/Watch.java
@@ -6,8 +6,8 @@
 import firstair.relay.Loop;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpWriter;
-import firstair.relay.net.HttpLink;
-import firstair.relay.net.Wire;
+import firstair.relay.net.Dialer;
+import firstair.relay.net.Link;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -28,7 +28,7 @@
         void news(News news, Listed listed);
     }
 
-    private final Wire wire;
+    private final Dialer dialer;
     private final Limits limits;
     private final Loop loop;
     private InetSocketAddress address;
@@ -40,9 +40,9 @@
     private boolean lost;
 
     /** @param version version of the list held, or -1 */
-    public Watch(Wire wire, Limits limits, Loop loop, InetSocketAddress address, List<String> kinds,
+    public Watch(Dialer dialer, Limits limits, Loop loop, InetSocketAddress address, List<String> kinds,
             List<String> zones, long version, Listener listener) {
-        this.wire = wire;
+        this.dialer = dialer;
         this.limits = limits;
         this.loop = loop;
         this.address = address;
@@ -74,9 +74,10 @@
 
     /** Ends what is out. */
     public void leave() {
-        if (call != null) {
-            call.link.leave();
-            call = null;
+        Call over = call;
+        call = null;
+        if (over != null && over.link != null) {
+            over.link.leave();
         }
     }
 
@@ -117,10 +118,10 @@
     }
 
     /** One call to discovery. */
-    private final class Call implements HttpLink.Exchange {
+    private final class Call implements Link.Exchange {
         final boolean watching;
         final Lines lines = new Lines(limits.listLine(), t -> loop.post(() -> line(this, t)));
-        HttpLink link;
+        Link link; // null until it has been opened
         boolean told;
         private volatile double heardAt = loop.now();
         private volatile boolean begun;
@@ -133,8 +134,9 @@
             String target = watching ? PATH + "?follow=1&since=" + version : PATH;
             byte[] request = HttpWriter.request("GET", target, HostPort.of(address))
                     .bare();
-            link = new HttpLink(wire, limits, address, Long.MAX_VALUE, request, this, () -> { });
+            // First the time-out, then what may fail: a call that could not be opened must not be waited for for ever.
             loop.after(limits.listAnswerMs(), this::check);
+            link = dialer.open(address, Long.MAX_VALUE, request, this, () -> { });
         }
 
         /** A watch whose empty lines stay away is dead, though nothing says so. */
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -9,8 +9,8 @@
 import firstair.relay.http.Bundles;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpWriter;
-import firstair.relay.net.HttpLink;
-import firstair.relay.net.Wire;
+import firstair.relay.net.Dialer;
+import firstair.relay.net.Link;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.logging.Logger;
 import java.util.stream.Collectors;
 
 /**
@@ -31,9 +32,10 @@
  * thread.
  */
 public final class Endpoints {
+    private static final Logger LOG = Logger.getLogger(Endpoints.class.getName());
     private static final int DELIVERED = 200;
 
-    private final Wire wire;
+    private final Dialer dialer;
     private final Limits limits;
     private final Loop loop;
     private final Consumer<Outcome> outcomes;
@@ -41,11 +43,11 @@
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final List<Call> calls = new ArrayList<>(); // out
 
-    private record Idle(HttpLink link, double since) { }
+    private record Idle(Link link, double since) { }
 
     /** @param outcomes told how each message of a call ended */
-    public Endpoints(Wire wire, Limits limits, Loop loop, Consumer<Outcome> outcomes) {
-        this.wire = wire;
+    public Endpoints(Dialer dialer, Limits limits, Loop loop, Consumer<Outcome> outcomes) {
+        this.dialer = dialer;
         this.limits = limits;
         this.loop = loop;
         this.outcomes = outcomes;
@@ -94,8 +96,16 @@
         }
     }
 
-    /** Closes connections that have stood idle for too long. */
+    /** Closes connections that have stood idle for too long, and ends calls that outlived their time. */
     public void sweep() {
+        double now = loop.now();
+        for (Call c : List.copyOf(calls)) {
+            // A fault below may have eaten a call's own timers: its messages and its slot would be lost with them.
+            if (now > c.latestAt) {
+                LOG.severe("call to " + c.endpoint + " outlived its time, ended by a sweep");
+                c.outlived();
+            }
+        }
         double oldest = loop.now() - limits.idleMs();
         for (Iterator<ArrayDeque<Idle>> all = idle.values().iterator(); all.hasNext();) {
             ArrayDeque<Idle> kept = all.next();
@@ -119,15 +129,16 @@
         }
     }
 
-    private final class Call implements HttpLink.Exchange {
+    private final class Call implements Link.Exchange {
         private final String endpoint;
         private final List<Item> items;
         private final Set<String> ids; // all that it was made with
         private final boolean bundle;
         private final double startedAt = loop.now();
+        private final double latestAt; // by then its own timers have ended it
         private final List<Loop.Timer> timers = new ArrayList<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private HttpLink link;
+        private Link link; // null until one carries it
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
         private volatile int first; // status of a first line that has come
@@ -138,11 +149,16 @@
             this.items = new ArrayList<>(items);
             this.ids = items.stream().map(Item::requestId).collect(Collectors.toSet());
             this.bundle = items.size() > 1;
+            this.latestAt = startedAt + patience() + limits.haltMs() + limits.answerMs() + 2 * limits.sweepMs();
+        }
+
+        private double patience() {
+            return items.stream().mapToDouble(Item::timeoutMs).max().orElse(0);
         }
 
         void start() {
             calls.add(this);
-            double patience = items.stream().mapToDouble(Item::timeoutMs).max().orElse(0);
+            double patience = patience();
             timers.add(loop.after(patience, this::expire));
             for (Item i : items) {
                 // Messages of a call share its fate, but none is waited for beyond its own time.
@@ -170,9 +186,8 @@
                 }
             }
             makeRoom();
-            HttpLink[] made = new HttpLink[1];
-            link = new HttpLink(wire, limits, to, limits.maxBody(), request, this,
-                    () -> loop.post(() -> forget(made[0])));
+            Link[] made = new Link[1];
+            link = dialer.open(to, limits.maxBody(), request, this, () -> loop.post(() -> forget(made[0])));
             made[0] = link;
             timers.add(loop.after(limits.connectMs(), () -> {
                 if (link.connecting()) {
@@ -283,7 +298,7 @@
             if (over || expired) {
                 return;
             }
-            if (link.halt()) {
+            if (link != null && link.halt()) {
                 expired = true;
                 timers.add(loop.after(limits.haltMs(), this::leave));
             } else {
@@ -292,7 +307,16 @@
         }
 
         private void leave() {
-            ended(link.leave() ? Result.TIMEOUT : Result.CONNECT_FAILED);
+            ended(link != null && link.leave() ? Result.TIMEOUT : Result.CONNECT_FAILED);
+        }
+
+        /** What became of it is not known; it never ran only where it has no connection that came up. */
+        private void outlived() {
+            boolean never = link == null || link.connecting();
+            if (link != null) {
+                link.leave();
+            }
+            ended(never ? Result.CONNECT_FAILED : Result.RESET);
         }
 
         void cancel(long id, int attempt) {
@@ -311,7 +335,8 @@
                 over = true;
                 calls.remove(this);
                 timers.forEach(Loop.Timer::cancel);
-                if (how.result() == Result.TIMEOUT || how.result() == Result.CANCELLED) {
+                boolean given = how.result() == Result.TIMEOUT || how.result() == Result.CANCELLED;
+                if (given && link != null) {
                     link.leave();
                 }
             }
@@ -319,7 +344,7 @@
                     how.over(), waitMs, load));
         }
 
-        private void forget(HttpLink closed) {
+        private void forget(Link closed) {
             ArrayDeque<Idle> kept = idle.get(endpoint);
             if (kept != null) {
                 kept.removeIf(i -> i.link() == closed);
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -1,47 +1,19 @@
 package firstair.relay.net;
 
-import firstair.relay.Limits;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpException;
 import firstair.relay.http.HttpParser;
 import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.GrizzlyFuture;
 
-/**
- * One connection that the relay opens to a peer, with one request at a time on it. Calls to an exchange come
- * from the selector's thread or from the thread that sends, and must not block.
- */
-public final class HttpLink {
-    /** What comes of one request. Exactly one of {@link #done} and {@link #broken} comes, unless it was left. */
-    public interface Exchange {
-        /** Something of an answer has come, and not yet all of it. */
-        default void begun() { }
-
-        /** The answer's first line says so, whatever follows it. */
-        default void first(int status) { }
-
-        /** Start line and headers of the answer. */
-        void head(Head head);
-
-        /** A piece of the answer's body, valid during the call only. */
-        void body(byte[] bytes, int offset, int length);
-
-        /**
-         * The answer is whole.
-         *
-         * @param reusable the connection can carry another request
-         * @param alone    nothing came behind it
-         */
-        void done(boolean reusable, boolean alone);
-
-        /**
-         * The connection never came up or broke, or what came is no answer and the connection has been closed;
-         * {@code maybeArrived} unless the last byte was not written.
-         */
-        void broken(boolean maybeArrived);
-    }
+/** A {@link Link} that speaks HTTP/1.1 over a connection of Grizzly's. */
+final class HttpLink implements Link {
+    private static final Logger LOG = Logger.getLogger(HttpLink.class.getName());
 
     private enum Phase { CONNECTING, WRITING, WAITING, IDLE, CLOSED }
 
@@ -57,18 +29,18 @@
     private boolean begun;
     private boolean halted;
 
-    /**
-     * Opens a connection and sends a first request on it.
-     *
-     * @param maxBody    bytes of an answer's body at most
-     * @param closedIdle told if the connection ends while no request is out on it
-     */
-    public HttpLink(Wire wire, Limits limits, InetSocketAddress to, long maxBody, byte[] request, Exchange first,
+    /** Opens a connection and sends a first request on it; see {@link Dialer#open}. */
+    HttpLink(Wire wire, int maxHead, InetSocketAddress to, long maxBody, byte[] request, Exchange first,
             Runnable closedIdle) {
-        this.parser = new HttpParser(HttpParser.Kind.ANSWER, limits.maxHead(), maxBody, new Answer());
+        this.parser = new HttpParser(HttpParser.Kind.ANSWER, maxHead, maxBody, new Answer());
         this.exchange = first;
         this.closedIdle = closedIdle;
-        opening = wire.connect(to);
+        // Guards against a library that throws in place of telling a failure: who opened the link waits for its end.
+        opening = guarded(() -> wire.connect(to));
+        if (opening == null) {
+            unwritten();
+            return;
+        }
         opening.addCompletionHandler(new EmptyCompletionHandler<>() {
             @Override
             @SuppressWarnings("rawtypes") // Grizzly's handler is declared so
@@ -88,6 +60,15 @@
         });
     }
 
+    private static <T> T guarded(Supplier<T> step) {
+        try {
+            return step.get();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "fault under a connection", e);
+            return null;
+        }
+    }
+
     private synchronized void connected(Connection<?> c, byte[] request) {
         if (phase == Phase.CLOSED) {
             c.closeSilently(); // it came up after its call was given up
@@ -98,7 +79,7 @@
         write(request);
     }
 
-    /** Sends a further request; false if the connection has ended meanwhile. */
+    @Override
     public synchronized boolean send(byte[] request, Exchange next) {
         if (phase != Phase.IDLE || !connection.isOpen()) {
             return false;
@@ -109,14 +90,20 @@
         return true;
     }
 
-    /** Whether the connection has not come up yet. */
+    @Override
     public synchronized boolean connecting() {
         return phase == Phase.CONNECTING;
     }
 
     private void write(byte[] request) {
         phase = Phase.WRITING;
-        Wire.write(connection, request, this::written, this::unwritten);
+        boolean handed = guarded(() -> {
+            Wire.write(connection, request, this::written, this::unwritten);
+            return true;
+        }) != null;
+        if (!handed) {
+            unwritten();
+        }
     }
 
     private synchronized void written() {
@@ -152,6 +139,9 @@
             }
         } catch (HttpException e) {
             fail(true);
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "fault in an answer", e); // its exchange must still hear that it is over
+            fail(true);
         }
     }
 
@@ -184,6 +174,8 @@
             }
         } catch (HttpException e) {
             // falls through: an answer cut short is a broken one
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "fault at the end of an answer", e);
         }
         // While a write is not complete, its last byte is not with the system: completion is told under our lock
         // or on the thread that runs here. Grizzly tells the end of a connection before that of its writes.
@@ -199,11 +191,7 @@
         }
     }
 
-    /**
-     * Ends the connection and the wait for an answer; nothing more is told of the exchange.
-     *
-     * @return whether the request may have arrived
-     */
+    @Override
     public synchronized boolean leave() {
         boolean sent = phase == Phase.WRITING || phase == Phase.WAITING;
         exchange = null;
@@ -211,12 +199,7 @@
         return sent;
     }
 
-    /**
-     * Gives up a request whose answer is waited for, by ending our sending. The exchange goes on until the peer
-     * ends the connection too, so that both sides agree on when the request was over.
-     *
-     * @return false if no whole request is out; then nothing has been done
-     */
+    @Override
     public synchronized boolean halt() {
         if (phase != Phase.WAITING) {
             return false;
@@ -228,11 +211,14 @@
 
     private void close() {
         phase = Phase.CLOSED;
-        if (connection != null) {
-            connection.closeSilently();
-        } else {
-            opening.cancel(true); // or its descriptor would be held until the system gives the connection up
-        }
+        guarded(() -> {
+            if (connection != null) {
+                connection.closeSilently();
+            } else if (opening != null) {
+                opening.cancel(true); // or its descriptor would be held until the system gives the connection up
+            }
+            return true;
+        });
     }
 
     private final class Answer implements HttpParser.Sink {
--- a/src/main/java/firstair/relay/net/Wire.java
+++ b/src/main/java/firstair/relay/net/Wire.java
@@ -24,9 +24,10 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /** The transport that all sockets of the relay share: one selector thread, whose filters never block. */
-public final class Wire {
+public final class Wire implements Dialer {
     private final TCPNIOTransport transport;
     private final FilterChain links;
+    private final int maxHead;
 
     /** Starts the selector thread. */
     public Wire(Limits limits) throws IOException {
@@ -41,6 +42,7 @@
                 .setTcpNoDelay(true)
                 .setReuseAddress(true)
                 .build();
+        maxHead = limits.maxHead();
         links = chain(new LinkFilter());
         transport.start();
     }
@@ -54,6 +56,11 @@
         return TCPNIOBindingHandler.builder(transport).processor(chain(filter)).build().bind(at);
     }
 
+    @Override
+    public Link open(InetSocketAddress to, long maxBody, byte[] request, Link.Exchange first, Runnable closedIdle) {
+        return new HttpLink(this, maxHead, to, maxBody, request, first, closedIdle);
+    }
+
     /** Opens a connection for a {@link HttpLink}. */
     @SuppressWarnings("rawtypes") // Grizzly's future is declared so
     GrizzlyFuture<Connection> connect(InetSocketAddress to) {
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -6,58 +6,62 @@
 import firstair.relay.Loop;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpWriter;
-import firstair.relay.net.HttpLink;
-import firstair.relay.net.Wire;
+import firstair.relay.net.Dialer;
+import firstair.relay.net.Link;
 import firstair.relay.store.Owed;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongConsumer;
+import java.util.logging.Level;
 import java.util.logging.Logger;
+import java.util.random.RandomGenerator;
 
 /**
- * Tells the platform of messages that end without being delivered, and repeats each notice until it is
- * confirmed. One post is out at a time and carries all that are owed. All methods run on the loop's thread.
+ * Tells the platform of messages that end without being delivered, and repeats each notice until it is confirmed.
+ * {@link NoticePlan} decides; this opens connections and keeps the time. All methods run on the loop's thread.
  */
 public final class Notices {
     private static final Logger LOG = Logger.getLogger(Notices.class.getName());
     private static final int CONFIRMED = 204;
 
-    private final Wire wire;
+    private final Dialer dialer;
     private final Limits limits;
     private final Loop loop;
-    private InetSocketAddress address;
     private final LongConsumer confirmed;
-    private final Map<Long, byte[]> owed = new LinkedHashMap<>();
-    private HttpLink idle;
-    private Post out;
+    private final NoticePlan plan;
+    private final Map<NoticePlan.Post, Post> out = new HashMap<>();
+    private InetSocketAddress address;
+    private Link idle;
     private Loop.Timer again;
-    private double pause;
-    private boolean alone; // a notice could not be read: one in each post, so that it holds up no other
+    private boolean told; // that notices are overdue
 
     /** @param confirmed told of each message whose notice has been confirmed */
-    public Notices(Wire wire, Limits limits, Loop loop, InetSocketAddress address, LongConsumer confirmed) {
-        this.wire = wire;
+    public Notices(Dialer dialer, Limits limits, Loop loop, InetSocketAddress address, RandomGenerator random,
+            LongConsumer confirmed) {
+        this.dialer = dialer;
         this.limits = limits;
         this.loop = loop;
         this.address = address;
         this.confirmed = confirmed;
-        this.pause = limits.noticePauseMs();
+        this.plan = new NoticePlan(limits.notices(), random);
     }
 
-    /** A notice is owed from now on. */
-    public void add(long id, String requestId, Owed notice) {
+    /**
+     * A notice is owed from now on.
+     *
+     * @param dueAt until when it is in time, on the loop's clock
+     */
+    public void add(long id, String requestId, Owed notice, double dueAt) {
         JsonObject o = new JsonObject();
         o.addProperty("message", requestId);
         o.addProperty("outcome", notice.handedBack() ? "handed_back" : "given_up");
         if (notice.handedBack() && notice.afterMs() > 0) {
             o.addProperty("retry_in_ms", Math.round(notice.afterMs()));
         }
-        owed.put(id, (o + "\n").getBytes(StandardCharsets.UTF_8));
+        plan.add(id, (o + "\n").getBytes(StandardCharsets.UTF_8), dueAt);
     }
 
     /**
@@ -69,101 +73,116 @@
             return;
         }
         address = to;
-        if (idle != null) {
-            idle.leave();
-            idle = null;
-        }
-        if (out != null) {
-            out.link.leave();
-            out.late.cancel();
-            out = null;
-        }
-        if (again != null) {
-            again.cancel();
-            again = null;
-        }
-        pause = limits.noticePauseMs();
+        keep(null);
+        plan.moved();
         flush();
     }
 
     /** How many notices are not confirmed. */
     public int owed() {
-        return owed.size();
+        return plan.owed();
     }
 
-    /** Posts what is owed, unless a post is out or a pause runs; called at the end of each round. */
+    /** Posts what is owed, as the plan has it; called at the end of each round. */
     public void flush() {
-        if (out != null || again != null || owed.isEmpty()) {
-            return;
+        NoticePlan.Post surplus = plan.surplus();
+        if (surplus != null) {
+            out.get(surplus).end(NoticePlan.NONE, false);
+        }
+        double now = loop.now();
+        for (NoticePlan.Post next = plan.next(now); next != null; next = plan.next(now)) {
+            Post p = new Post(next);
+            out.put(next, p);
+            p.start();
+        }
+        if (again == null && plan.owed() > 0) {
+            double at = plan.wakeAt();
+            if (at > now && at < Double.POSITIVE_INFINITY) {
+                again = loop.after(at - now, () -> {
+                    again = null;
+                    flush();
+                });
+            }
         }
-        out = new Post();
-        out.start();
     }
 
-    private void pauseThenAgain() {
-        again = loop.after(pause, () -> {
-            again = null;
-            flush();
-        });
-        pause = Math.min(pause * 2, limits.noticePauseMostMs());
+    /** Tells of notices that could not be in time, once for each spell of trouble. */
+    public void sweep() {
+        int late = plan.overdue(loop.now());
+        if (late > 0 && !told) {
+            told = true;
+            LOG.warning(late + " notices are overdue: the platform at " + HostPort.of(address)
+                    + " has not confirmed them");
+        }
+        if (told && plan.recovered()) {
+            told = false;
+            double[] all = plan.lateness();
+            LOG.warning("the platform confirms again: " + (long) all[0] + " notices were overdue, by "
+                    + Math.round(all[1]) + " ms at most");
+        }
     }
 
-    /** One post. */
-    private final class Post implements HttpLink.Exchange {
-        private final List<Long> ids = new ArrayList<>();
-        private HttpLink link;
+    private void keep(Link link) {
+        Link before = idle;
+        idle = link;
+        if (before != null && before != link) {
+            before.leave();
+        }
+    }
+
+    /** One post. Its times are set before anything is opened, so that no fault below can keep it out for ever. */
+    private final class Post implements Link.Exchange {
+        private final NoticePlan.Post planned;
+        private final InetSocketAddress to = address;
+        private Link link;
+        private Loop.Timer slow;
         private Loop.Timer late;
         private volatile int status;
 
+        Post(NoticePlan.Post planned) {
+            this.planned = planned;
+        }
+
         void start() {
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
-            for (Map.Entry<Long, byte[]> e : owed.entrySet()) {
-                if (!ids.isEmpty() && (alone || body.size() + e.getValue().length > limits.noticeBytes())) {
-                    break;
-                }
-                ids.add(e.getKey());
-                body.writeBytes(e.getValue());
-            }
-            byte[] request = HttpWriter.request("POST", "/status", HostPort.of(address))
-                    .header("Content-Type", "application/x-ndjson").body(body.toByteArray());
-            late = loop.after(limits.noticeAnswerMs(), () -> {
-                link.leave();
-                ended(false);
+            slow = loop.after(planned.patienceMs(), () -> {
+                plan.slow(planned);
+                flush();
             });
-            HttpLink kept = idle;
-            idle = null;
-            if (kept != null && kept.send(request, this)) {
-                link = kept;
-            } else {
-                link = new HttpLink(wire, limits, address, limits.maxBody(), request, this, () -> { });
+            late = loop.after(limits.notices().answerMs(), () -> end(status, false));
+            byte[] request = HttpWriter.request("POST", "/status", HostPort.of(to))
+                    .header("Content-Type", "application/x-ndjson").body(planned.body());
+            try {
+                Link kept = planned.fresh() ? null : idle;
+                if (kept != null) {
+                    idle = null;
+                    if (kept.send(request, this)) {
+                        link = kept;
+                        return;
+                    }
+                }
+                link = dialer.open(to, limits.maxBody(), request, this, () -> { });
+            } catch (RuntimeException e) {
+                LOG.log(Level.SEVERE, "fault under a notice", e);
+                loop.post(() -> end(NoticePlan.NONE, false));
             }
         }
 
-        private void ended(boolean reusable) {
-            if (out != this) {
-                return;
+        private void end(int how, boolean reusable) {
+            if (out.remove(planned) == null) {
+                return; // over before: given up for a further one, or answered after its time
             }
-            out = null;
+            slow.cancel();
             late.cancel();
-            idle = reusable ? link : null;
-            if (status == CONFIRMED) {
-                pause = limits.noticePauseMs();
-                alone = false;
-                for (Long id : ids) {
-                    owed.remove(id);
-                    confirmed.accept(id);
-                }
-                return;
-            }
-            if (status != 0) {
-                LOG.warning("platform answered a notice with " + status);
+            if (reusable && how == CONFIRMED && to.equals(address)) {
+                keep(link);
+            } else if (link != null) {
+                link.leave();
             }
-            if (status == 400) {
-                alone = true;
-                byte[] first = owed.remove(ids.get(0)); // the next post begins with another one
-                owed.put(ids.get(0), first);
+            if (how != NoticePlan.NONE && how != CONFIRMED) {
+                LOG.warning("platform answered a notice with " + how);
             }
-            pauseThenAgain();
+            List<Long> over = plan.ended(planned, loop.now(), how);
+            over.forEach(confirmed::accept);
         }
 
         @Override
@@ -178,12 +197,12 @@
 
         @Override
         public void done(boolean reusable, boolean alone) {
-            loop.post(() -> ended(reusable));
+            loop.post(() -> end(status, reusable && alone));
         }
 
         @Override
         public void broken(boolean maybeArrived) {
-            loop.post(() -> ended(false));
+            loop.post(() -> end(NoticePlan.NONE, false));
         }
     }
 }
--- a/src/test/java/firstair/relay/platform/NoticesTest.java
+++ b/src/test/java/firstair/relay/platform/NoticesTest.java
@@ -10,6 +10,7 @@
 import firstair.relay.store.Owed;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -54,11 +55,11 @@
             calls.incrementAndGet();
             handler.handle(r);
         });
-        notices = new Notices(wire, limits, loop, platform.address(), confirmed::add);
+        notices = new Notices(wire, limits, loop, platform.address(), new Random(1), confirmed::add);
     }
 
     private void owe(long id, boolean handedBack, double afterMs) {
-        loop.post(() -> notices.add(id, "r" + id, new Owed(handedBack, afterMs)));
+        loop.post(() -> notices.add(id, "r" + id, new Owed(handedBack, afterMs), loop.now() + 300));
     }
 
     private <T> T next(BlockingQueue<T> queue) throws InterruptedException {
@@ -102,8 +103,8 @@
     void oneThatCannotBeReadHoldsUpNoOther() throws Exception {
         platform(r -> r.answer(new String(r.body(), StandardCharsets.UTF_8).contains("r1") ? 400 : 204));
         loop.post(() -> {
-            notices.add(1, "r1", new Owed(false, 0));
-            notices.add(2, "r2", new Owed(false, 0));
+            notices.add(1, "r1", new Owed(false, 0), loop.now() + 300);
+            notices.add(2, "r2", new Owed(false, 0), loop.now() + 300);
         });
         assertThat(next(confirmed)).isEqualTo(2);
     }
--- a/src/test/java/firstair/relay/standin/ShortTimes.java
+++ b/src/test/java/firstair/relay/standin/ShortTimes.java
@@ -25,8 +25,8 @@
                 l.readBuffer(), l.backlog(), l.roundMs(), l.connectMs(), idleMs, haltMs, l.sweepMs(),
                 l.emptyMs(), l.answerMs(), l.restMs(), l.firstMs(), l.requestMs(), l.crowdedMs(),
                 l.clientIdleMs(), l.lingerMs(),
-                l.lingerBytes(), listMs, listMs, l.listLine(), l.noticeAnswerMs(), l.noticePauseMs(),
-                l.noticePauseMostMs(), l.noticeBytes(), l.drainAcceptMs(), l.drainCallsMs(),
+                l.lingerBytes(), listMs, listMs, l.listLine(), l.notices(), l.overdueMs(),
+                l.reloadMs(), l.drainAcceptMs(), l.drainCallsMs(),
                 l.drainMs());
     }
 }
