--- a/src/main/java/firstair/kit/run/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -69,6 +69,11 @@
         return address;
     }
 
+    /** Where a relay listens that runs in this process. */
+    public void address(InetSocketAddress at) {
+        address = at;
+    }
+
     /** Where it is to listen. */
     public void listen(String at) {
         listen = at;
@@ -114,10 +119,16 @@
     /** Writes its configuration again and sends it SIGHUP. */
     public void hangUp() throws Exception {
         write();
+        signalHangUp();
+    }
+
+    /** Sends it SIGHUP. */
+    public void signalHangUp() throws Exception {
         new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).inheritIO().start().waitFor();
     }
 
-    private Path write() throws IOException {
+    /** Writes its configuration. */
+    public Path write() throws IOException {
         Path file = folder.resolve("config.json");
         Path draft = folder.resolve("config.new");
         Files.writeString(draft, config != null ? config : "{\"name\":\"n0\",\"listen\":\"" + listen
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -33,6 +33,7 @@
  * @param notices         of notices to the platform
  * @param overdueMs       after its time, from which a message that has no end is taken for lost by a fault of ours
  * @param reloadMs        how long a configuration that cannot be used is read again after a SIGHUP
+ * @param openMs          how long clients wait at most for the notices that a start has taken up
  * @param drainAcceptMs   how long a relay that was told to end still accepts connections
  * @param drainCallsMs    how long it makes calls for what it holds
  * @param drainMs         until it ends at the latest
@@ -41,7 +42,8 @@
         int readBuffer, int backlog, double roundMs, double connectMs, double idleMs, double haltMs, double sweepMs,
         double emptyMs, double answerMs, double restMs, double firstMs, double requestMs, double crowdedMs,
         double clientIdleMs, double lingerMs, int lingerBytes, double listAnswerMs, double listSilenceMs, int listLine,
-        Notices notices, double overdueMs, double reloadMs, double drainAcceptMs, double drainCallsMs, double drainMs) {
+        Notices notices, double overdueMs, double reloadMs, double openMs, double drainAcceptMs,
+        double drainCallsMs, double drainMs) {
 
     /**
      * Of notices to the platform.
@@ -50,14 +52,15 @@
      * @param returnMs      after a start, until which the notices taken up again are in time
      * @param answerMs      until a post without an answer is given up
      * @param leastMs       least time until what an unanswered post carries goes a second time as well
+     * @param mostMs        longest such time
      * @param pauseMs       first pause after a post that failed; it doubles
      * @param urgentPauseMs longest such pause while any notice can still be in time
      * @param pauseMostMs   longest such pause otherwise
      * @param bytes         bytes of one post at most
      * @param posts         posts that may be out
      */
-    public record Notices(double dueMs, double returnMs, double answerMs, double leastMs, double pauseMs,
-            double urgentPauseMs, double pauseMostMs, int bytes, int posts) { }
+    public record Notices(double dueMs, double returnMs, double answerMs, double leastMs, double mostMs,
+            double pauseMs, double urgentPauseMs, double pauseMostMs, int bytes, int posts) { }
 
     private static final int KIB = 1024;
     private static final long BYTES_PER_MB = 1_000_000;  // the smaller reading of a megabyte
@@ -72,7 +75,8 @@
     private static final double LIST_SILENCE_MS = 3000;  // lines come every 2 s, changes count as told after 6 s
     private static final double NOTICE_DUE_MS = 300;     // after a message's time
     private static final double NOTICE_RETURN_MS = 1500; // after a relay is ready again
-    private static final double NOTICE_ANSWER_MS = 250;  // answered at once; a later answer comes too late
+    private static final double NOTICE_ANSWER_MS = 1000; // an answer that comes late saves a repeat all the same
+    private static final double NOTICE_MOST_MS = 250;    // answers come at once, but for a process that just began
     private static final double DRAIN_ACCEPT_MS = 450;   // connections still come for up to 400 ms after SIGTERM
     private static final double DRAIN_CALLS_MS = 2300;   // so that a call has usually ended by then
     private static final double DRAIN_MS = 3000;         // SIGKILL comes 3.7 s after SIGTERM at the soonest
@@ -103,6 +107,7 @@
     private static final double NOTICE_PAUSE_MOST_MS = 1000;
     private static final int NOTICE_POSTS = 8;           // several thousand notices at one moment
     private static final double OVERDUE_MS = 150;        // after calls are halted; leaves as much for the notice
+    private static final double OPEN_MS = 300;           // more than a post takes; clients use other relays meanwhile
     private static final double RELOAD_MS = 1000;        // a file is written in less, and 4 s may pass until it counts
 
     /**
@@ -123,7 +128,7 @@
                 Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
                 REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_SILENCE_MS, LIST_SILENCE_MS,
                 LIST_LINE, new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS, NOTICE_ANSWER_MS, NOTICE_LEAST_MS,
-                NOTICE_PAUSE_MS, NOTICE_URGENT_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS), OVERDUE_MS, RELOAD_MS,
-                DRAIN_ACCEPT_MS, DRAIN_CALLS_MS, DRAIN_MS);
+                NOTICE_MOST_MS, NOTICE_PAUSE_MS, NOTICE_URGENT_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS), OVERDUE_MS, RELOAD_MS,
+                OPEN_MS, DRAIN_ACCEPT_MS, DRAIN_CALLS_MS, DRAIN_MS);
     }
 }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -77,7 +77,7 @@
     private final Watch watch;
     private final Notices notices;
     private final ClientFilter clients;
-    private final Control control;
+    private final Controller control;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Place> places = new HashMap<>();         // endpoints by their ids
     private final Map<Integer, Double> destinations = new HashMap<>(); // when each last had an endpoint
@@ -91,12 +91,24 @@
     private long nextId;
     private boolean listen;
     private Connection<?> listener;
+    private Loop.Timer opening; // until clients may come
+    private IOException failure;
+    private String takenUp;
     private volatile boolean ready;
     private boolean closing; // draining: nothing new is taken, what is held goes on
     private boolean resting; // at the end of that: no further calls, the rest stays stored
 
+    /** Makes what decides; a test puts a broken one in its place. */
+    interface Decisions {
+        Controller of(Controller.Settings settings, long seed, Controller.Actions actions);
+    }
+
     /** Reads what the last process left and prepares everything but the clients' address. */
     public Relay(Config config) throws IOException {
+        this(config, Control::new);
+    }
+
+    Relay(Config config, Decisions decisions) throws IOException {
         this.config = config;
         limits = config.limits();
         loop = new Loop(limits.roundMs());
@@ -113,17 +125,22 @@
         watch = new Watch(wire, limits, loop, config.discovery(), config.kinds(), config.zones(),
                 known == null ? -1 : known.version(), this::news);
         clients = new ClientFilter(limits, this);
-        control = new Control(config.settings(), config.seed(), this);
+        control = decisions.of(config.settings(), config.seed(), this);
     }
 
     /** Serves until {@link #stop}. */
     public void run() throws IOException, InterruptedException {
         try {
             start();
-            loop.run(this::round);
+            if (failure == null) {
+                loop.run(this::round);
+            }
             watch.leave();
             wire.close();
             store.close();
+            if (failure != null) {
+                throw failure;
+            }
             LOG.info("ended, " + held.size() + " messages kept for the next start");
         } finally {
             ended.countDown(); // also where the start failed: a signal's thread must not wait for ever
@@ -137,12 +154,33 @@
         resume();
         round();
         loop.after(limits.sweepMs(), this::sweep);
-        listener = wire.listen(config.listen(), clients);
+        takenUp = held.size() + " messages and " + notices.owed() + " notices taken up again";
+        if (notices.owed() == 0) {
+            open();
+        } else {
+            // What the last process owes is overdue soon after clients come; beside them its posts took 0.3 s and more.
+            opening = loop.after(limits.openMs(), this::open);
+        }
+    }
+
+    private void open() {
+        opening = null;
+        try {
+            listener = wire.listen(config.listen(), clients);
+        } catch (IOException e) {
+            failure = e;
+            loop.end();
+            return;
+        }
         ready = true;
         InetSocketAddress bound = (InetSocketAddress) listener.getLocalAddress();
         String at = HostPort.of(new InetSocketAddress(bound.getAddress().getHostAddress(), bound.getPort()));
-        LOG.info("relay " + config.name() + " ready at " + at + ", " + held.size() + " messages and " + notices.owed()
-                + " notices taken up again");
+        LOG.info("relay " + config.name() + " ready at " + at + ", " + takenUp);
+    }
+
+    /** Where clients reach it, once it is ready. */
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalAddress();
     }
 
     /** Ends the relay in order: for a signal's thread, which waits here until that is done. */
@@ -240,7 +278,13 @@
         loop.after(limits.drainAcceptMs(), () -> {
             ready = false;
             closing = true;
-            listener.closeSilently();
+            if (opening != null) { // told to end before clients could come
+                opening.cancel();
+                opening = null;
+            }
+            if (listener != null) {
+                listener.closeSilently();
+            }
             clients.drain();
         });
         // What is held would wait for the next process, seconds from now: it is sent for as long as it can be answered.
@@ -439,6 +483,10 @@
             planned.forEach(this::notSent);
         }
         notices.flush();
+        if (opening != null && notices.owed() == 0) {
+            opening.cancel();
+            open();
+        }
         boolean nothingLeft = resting || held.isEmpty() && notices.owed() == 0;
         if (closing && nothingLeft && endpoints.out() == 0 && !clients.busy()) {
             loop.end();
--- a/src/main/java/firstair/relay/platform/NoticePlan.java
+++ b/src/main/java/firstair/relay/platform/NoticePlan.java
@@ -146,7 +146,7 @@
             n.tries++;
         }
         p.startedAt = now;
-        p.patienceMs = Math.max(limits.leastMs(), Math.min(limits.answerMs(), (dueAt - now) / PARTS));
+        p.patienceMs = Math.max(limits.leastMs(), Math.min(limits.mostMs(), (dueAt - now) / PARTS));
         out.add(p);
         return p;
     }
--- /dev/null
+++ b/src/test/java/firstair/relay/FaultsTest.java
@@ -0,0 +1,172 @@
+package firstair.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstair.control.Control;
+import firstair.control.Controller;
+import firstair.control.Controller.News;
+import firstair.control.Controller.Outcome;
+import firstair.control.Controller.Result;
+import firstair.kit.run.Node;
+import firstair.kit.standin.StandIn;
+import firstair.relay.discovery.Watch;
+import firstair.relay.endpoints.Endpoints;
+import firstair.relay.endpoints.Item;
+import firstair.relay.net.Wire;
+import firstair.relay.platform.Notices;
+import firstair.relay.standin.Await;
+import firstair.relay.standin.FaultyDialer;
+import firstair.relay.standin.LoopThread;
+import firstair.relay.standin.Platform;
+import firstair.relay.store.Owed;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What is promised holds although something below the relay's parts, or one of them, fails as it never should. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class FaultsTest {
+    private static final String LIST = Platform.list(3, true, "a 7 127.0.0.1:1");
+    private final Limits limits = Limits.of(0, 0, 64_000_000, 0, 0, 0);
+    private Wire wire;
+    private Loop loop;
+
+    @BeforeEach
+    void start() throws Exception {
+        wire = new Wire(limits);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        if (loop != null) {
+            loop.end();
+        }
+        wire.close();
+    }
+
+    private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        T t = queue.poll(10, TimeUnit.SECONDS);
+        assertThat(t).isNotNull();
+        return t;
+    }
+
+    @ParameterizedTest
+    @EnumSource(FaultyDialer.Fault.class)
+    void noticesGoOnAndMove(FaultyDialer.Fault fault) throws Exception {
+        BlockingQueue<Long> confirmed = new LinkedBlockingQueue<>();
+        try (StandIn platform = new StandIn(r -> r.answer(204)); StandIn later = new StandIn(r -> r.answer(204))) {
+            Notices[] made = new Notices[1];
+            loop = LoopThread.start(() -> {
+                if (made[0] != null) {
+                    made[0].flush();
+                }
+            });
+            made[0] = new Notices(new FaultyDialer(wire, fault, 2), limits, loop, platform.address(), new Random(1),
+                    confirmed::add);
+            loop.post(() -> made[0].add(1, "r1", new Owed(false, 0), loop.now() + 300));
+            assertThat(next(confirmed)).isEqualTo(1);
+            loop.post(() -> made[0].move(later.address()));
+            loop.post(() -> made[0].add(2, "r2", new Owed(false, 0), loop.now() + 300));
+            assertThat(next(confirmed)).isEqualTo(2);
+            assertThat(later.accepted()).isPositive();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = FaultyDialer.Fault.class, names = {"FAILS_AT_ONCE", "NEVER_CALLS_BACK"})
+    void aWatchThatFailsBelowIsNewsAndIsAskedAgain(FaultyDialer.Fault fault) throws Exception {
+        BlockingQueue<News> news = new LinkedBlockingQueue<>();
+        loop = LoopThread.start(() -> { });
+        try (Platform platform = new Platform(LIST)) {
+            Watch w = new Watch(new FaultyDialer(wire, fault, 1), limits, loop, platform.address(), List.of("one"),
+                    List.of("z"), 1, (n, listed) -> news.add(n));
+            loop.post(w::listen);
+            assertThat(next(news)).isEqualTo(News.FAILED);
+            loop.post(w::listen);
+            assertThat(next(news)).isEqualTo(News.COMPLETE);
+        }
+    }
+
+    @Test
+    void aWatchThatThrowsBelowIsNewsOnceItsTimeIsUpAndMovesOn() throws Exception {
+        BlockingQueue<News> news = new LinkedBlockingQueue<>();
+        loop = LoopThread.start(() -> { });
+        try (Platform platform = new Platform(LIST); Platform later = new Platform(LIST)) {
+            Watch w = new Watch(new FaultyDialer(wire, FaultyDialer.Fault.THROWS, 1), limits, loop,
+                    platform.address(), List.of("one"), List.of("z"), 1, (n, listed) -> news.add(n));
+            loop.post(w::listen);
+            loop.post(() -> w.move(later.address()));
+            assertThat(next(news)).isEqualTo(News.COMPLETE);
+            assertThat(later.watched()).isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(FaultyDialer.Fault.class)
+    void aCallThatFailsBelowEndsAndNeverRan(FaultyDialer.Fault fault) throws Exception {
+        BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+        loop = LoopThread.start(() -> { });
+        Endpoints e = new Endpoints(new FaultyDialer(wire, fault, 1), limits, loop, outcomes::add);
+        e.learn(Map.of("a", wireAddress()));
+        loop.post(() -> e.call("a", List.of(new Item(1, 0, "r1", null, new byte[0], 200, loop.now() + 5000))));
+        assertThat(next(outcomes).result()).isEqualTo(Result.CONNECT_FAILED);
+        loop.post(() -> assertThat(e.out()).isZero());
+    }
+
+    private static java.net.InetSocketAddress wireAddress() {
+        return new java.net.InetSocketAddress("127.0.0.1", 1);
+    }
+
+    /** Decides as usual, but forgets every message and throws at one destination. */
+    private static Controller forgetful(Controller.Settings s, long seed, Controller.Actions actions) {
+        Controller real = new Control(s, seed, actions);
+        return (Controller) java.lang.reflect.Proxy.newProxyInstance(Controller.class.getClassLoader(),
+                new Class<?>[] {Controller.class}, (self, method, args) -> {
+                    if (method.getName().equals("taken")) {
+                        if (((Controller.Message) args[1]).destination() == 8) {
+                            throw new IllegalStateException("thrown by a test");
+                        }
+                        return null;
+                    }
+                    return method.invoke(real, args);
+                });
+    }
+
+    @Test
+    void whatTheDecisionsLoseIsGivenUpInTimeAndWhatTheyThrowAtIsRefused(@TempDir Path folder) throws Exception {
+        try (Platform platform = new Platform(Platform.list(3, true, "a 7 127.0.0.1:1", "b 8 127.0.0.1:1"))) {
+            Node node = new Node(folder, platform.hostPort(),
+                    Platform.list(3, true, "a 7 127.0.0.1:1", "b 8 127.0.0.1:1"));
+            Relay relay = new Relay(Config.read(Map.of("ROUTER_CONFIG", node.write().toString(), "ROUTER_STATE",
+                    node.state().toString())), FaultsTest::forgetful);
+            Thread serving = new Thread(() -> {
+                try {
+                    relay.run();
+                } catch (Exception e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            serving.start();
+            Await.until("ready", relay::ready);
+            node.address(relay.address());
+            assertThat(node.handIn("m0", "safe", 1000, "dest=8", null, new byte[3])).contains(" 503 ");
+            long sent = System.nanoTime();
+            assertThat(node.handIn("m1", "safe", 2500, "dest=7", null, new byte[3])).contains(" 202 ");
+            assertThat(platform.notices.poll(10, TimeUnit.SECONDS)).contains("m1").contains("given_up");
+            assertThat((System.nanoTime() - sent) / 1e6).isBetween(2500.0, 2500.0 + 300);
+            relay.stop();
+            serving.join();
+        }
+    }
+}
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -460,6 +460,20 @@
         assertThat(node.log()).filteredOn(l -> l.contains("read before stays")).hasSize(2);
     }
 
+    @Test
+    void atAHangUpAFileThatIsStillBeingWrittenIsReadAgain() throws Exception {
+        node.start();
+        Await.until("a watch", platform::watched);
+        try (Platform later = new Platform(list(2))) {
+            node.config("{\"name\":\"n0\",\"listen\":\"127.0");
+            node.hangUp();
+            node.config(null);
+            node.discovery(later.hostPort());
+            node.write(); // with no signal of its own
+            Await.until("a watch at the new place", later::watched);
+        }
+    }
+
     @Test
     void anEndpointThatDrainsGetsNothingNew() throws Exception {
         node.start();
--- /dev/null
+++ b/src/test/java/firstair/relay/platform/NoticePlanTest.java
@@ -0,0 +1,201 @@
+package firstair.relay.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstair.relay.Limits;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class NoticePlanTest {
+    private final Limits.Notices limits = Limits.of(0, 0, 64_000_000, 0, 0, 0).notices();
+    private final NoticePlan plan = new NoticePlan(limits, new Random(1));
+
+    private void add(long id, double dueAt) {
+        plan.add(id, text(id), dueAt);
+    }
+
+    private static byte[] text(long id) {
+        return ("n" + id + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String said(NoticePlan.Post p) {
+        return new String(p.body(), StandardCharsets.UTF_8).replace("\n", " ").trim();
+    }
+
+    @Test
+    void whatASlowPostCarriesGoesAgainOverAConnectionOfItsOwnAndTheLateAnswerCounts() {
+        add(1, 300);
+        NoticePlan.Post first = plan.next(0);
+        assertThat(first.fresh()).isFalse();
+        assertThat(first.patienceMs()).isEqualTo(100);
+        assertThat(plan.next(1)).isNull();
+        plan.slow(first);
+        NoticePlan.Post second = plan.next(100);
+        assertThat(second.fresh()).isTrue();
+        assertThat(said(second)).isEqualTo("n1");
+        assertThat(plan.ended(first, 120, 204)).containsExactly(1L);
+        assertThat(plan.ended(second, 130, 204)).isEmpty();
+        assertThat(plan.owed()).isZero();
+    }
+
+    @Test
+    void aSlowPostHoldsUpNothingAndWhatWaitsLongestGoesFirst() {
+        add(1, 300);
+        NoticePlan.Post first = plan.next(0);
+        add(2, 310);
+        add(3, 290);
+        assertThat(plan.next(10)).isNull(); // it may answer at any moment
+        plan.slow(first);
+        assertThat(said(plan.next(60))).isEqualTo("n1 n2 n3");
+    }
+
+    @Test
+    void oneThatCannotBeReadHoldsUpNoOther() {
+        LongStream.rangeClosed(1, 8).forEach(i -> add(i, 300));
+        List<Long> confirmed = new ArrayList<>();
+        double now = 0;
+        for (int round = 0; round < 40 && confirmed.size() < 7; round++) {
+            NoticePlan.Post p = plan.next(now);
+            if (p != null) {
+                confirmed.addAll(plan.ended(p, now, said(p).contains("n3") ? 400 : 204));
+            }
+            now += 5;
+        }
+        assertThat(confirmed).containsExactlyInAnyOrder(1L, 2L, 4L, 5L, 6L, 7L, 8L);
+        assertThat(plan.owed()).isEqualTo(1);
+        assertThat(plan.wakeAt()).isGreaterThan(0); // it goes on being tried, alone and ever more seldom
+    }
+
+    @Test
+    void thePlaceIsLeftAloneForGrowingTimesButNotLongWhileANoticeCanBeInTime() {
+        add(1, 5000);
+        double now = 0;
+        List<Double> pauses = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            NoticePlan.Post p = plan.next(now);
+            assertThat(plan.ended(p, now, NoticePlan.NONE)).isEmpty();
+            double at = plan.wakeAt();
+            if (i > 0) { // the first was over a kept connection, which proves nothing of the place
+                pauses.add(at - now);
+            }
+            now = Math.max(now, at) + (i == 20 ? 5000 : 0);
+        }
+        assertThat(pauses.subList(0, 19)).allMatch(ms -> ms <= limits.urgentPauseMs() * 1.25 + 1e-6);
+        assertThat(pauses.get(1)).isGreaterThan(pauses.get(0));
+        assertThat(pauses.get(28)).isBetween(limits.pauseMostMs() * 0.75, limits.pauseMostMs() * 1.25);
+    }
+
+    @Test
+    void whenThePlatformMovesWhatIsOutGoesAgainAtOnce() {
+        add(1, 300);
+        NoticePlan.Post old = plan.next(0);
+        plan.moved();
+        assertThat(said(plan.next(1))).isEqualTo("n1");
+        assertThat(plan.ended(old, 2, 204)).containsExactly(1L);
+    }
+
+    @Test
+    void theOldestSlowPostMakesRoom() {
+        add(1, 5000);
+        List<NoticePlan.Post> all = new ArrayList<>();
+        for (int i = 0; i < limits.posts(); i++) {
+            assertThat(plan.surplus()).isNull();
+            NoticePlan.Post p = plan.next(i);
+            plan.slow(p);
+            all.add(p);
+        }
+        assertThat(plan.next(100)).isNull();
+        assertThat(plan.surplus()).isSameAs(all.get(0));
+        plan.ended(all.get(0), 100, NoticePlan.NONE);
+        assertThat(plan.next(101)).isNotNull();
+    }
+
+    @Test
+    void overdueNoticesAreCountedOnce() {
+        add(1, 300);
+        add(2, 400);
+        assertThat(plan.overdue(350)).isEqualTo(1);
+        assertThat(plan.overdue(450)).isEqualTo(1);
+        assertThat(plan.overdue(460)).isZero();
+        NoticePlan.Post p = plan.next(470);
+        assertThat(plan.recovered()).isFalse();
+        plan.ended(p, 480, 204);
+        assertThat(plan.recovered()).isTrue();
+        assertThat(plan.lateness()).containsExactly(2, 180);
+        assertThat(plan.recovered()).isFalse();
+    }
+
+    /**
+     * A platform whose connections fail by chance, of any two that come one after the other one working: every notice
+     * is there in time, thousands at one moment too. Virtual time.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void whereOneOfTwoConnectionsWorksEveryNoticeIsInTime(long seed) {
+        Random random = new Random(seed);
+        NoticePlan p = new NoticePlan(limits, new Random(seed));
+        Map<Long, Double> due = new HashMap<>();
+        Map<Long, Double> arrived = new HashMap<>();
+        record Event(double at, int order, Runnable what) { }
+        PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at() != b.at()
+                ? Double.compare(a.at(), b.at()) : Integer.compare(a.order(), b.order()));
+        int[] order = new int[1];
+        boolean[] failedBefore = new boolean[1];
+        double[] now = new double[1];
+        long id = 0;
+        for (double at = 0; at < 20_000; at += random.nextInt(200)) {
+            int many = random.nextInt(50) == 0 ? 3000 : 1 + random.nextInt(3);
+            double t = at;
+            for (int i = 0; i < many; i++) {
+                long one = id++;
+                due.put(one, t + 250);
+                events.add(new Event(t, order[0]++, () -> p.add(one, text(one), t + 250)));
+            }
+        }
+        while (!events.isEmpty() || p.owed() > 0) {
+            for (NoticePlan.Post s = p.surplus(); s != null; s = null) {
+                p.ended(s, now[0], NoticePlan.NONE);
+            }
+            for (NoticePlan.Post n = p.next(now[0]); n != null; n = p.next(now[0])) {
+                NoticePlan.Post post = n;
+                double sent = now[0];
+                int fault = failedBefore[0] ? 0 : random.nextInt(4);
+                failedBefore[0] = fault != 0;
+                events.add(new Event(sent + post.patienceMs(), order[0]++, () -> p.slow(post)));
+                switch (fault) {
+                    case 0 -> events.add(new Event(sent + 2, order[0]++, () -> {
+                        for (String line : said(post).split(" ")) {
+                            arrived.putIfAbsent(Long.parseLong(line.substring(1)), sent + 1);
+                        }
+                        p.ended(post, sent + 2, 204);
+                    }));
+                    case 1 -> events.add(new Event(sent + 1, order[0]++, () -> p.ended(post, sent + 1,
+                            NoticePlan.NONE)));
+                    case 2 -> events.add(new Event(sent + 1, order[0]++, () -> p.ended(post, sent + 1, 400)));
+                    default -> events.add(new Event(sent + limits.answerMs(), order[0]++, () -> p.ended(post,
+                            sent + limits.answerMs(), NoticePlan.NONE)));
+                }
+            }
+            double wake = p.wakeAt();
+            Event e = events.peek();
+            if (e == null || wake > now[0] && wake < e.at()) {
+                now[0] = wake;
+            } else {
+                now[0] = events.poll().at();
+                e.what().run();
+            }
+        }
+        assertThat(arrived).as("seed " + seed).hasSameSizeAs(due);
+        arrived.forEach((one, at) -> assertThat(at).as("seed " + seed + " notice " + one)
+                .isLessThanOrEqualTo(due.get(one)));
+    }
+}
--- a/src/test/java/firstair/relay/standin/ShortTimes.java
+++ b/src/test/java/firstair/relay/standin/ShortTimes.java
@@ -26,7 +26,7 @@
                 l.emptyMs(), l.answerMs(), l.restMs(), l.firstMs(), l.requestMs(), l.crowdedMs(),
                 l.clientIdleMs(), l.lingerMs(),
                 l.lingerBytes(), listMs, listMs, l.listLine(), l.notices(), l.overdueMs(),
-                l.reloadMs(), l.drainAcceptMs(), l.drainCallsMs(),
+                l.reloadMs(), l.openMs(), l.drainAcceptMs(), l.drainCallsMs(),
                 l.drainMs());
     }
 }
