--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run; see README.md
-.PHONY: build test lint run clean
+.PHONY: build test lint run soak clean
 
 build:
 	mvn -q -B -DskipTests package
@@ -16,5 +16,9 @@
 run: build
 	bash examples/run.sh
 
+# Ten minutes of a relay under a platform that moves and fails; status 0 if every promise was kept.
+soak: build
+	java -cp 'target/firstair.jar:target/lib/*' firstair.kit.soak.Soak --seconds 600
+
 clean:
 	mvn -q -B clean
