--- a/src/main/java/firstair/Main.java
+++ b/src/main/java/firstair/Main.java
@@ -1,19 +1,18 @@
 package firstair;
 
-import firstair.relay.Config;
-import firstair.relay.ConfigException;
-import firstair.relay.Logs;
-import firstair.relay.Relay;
+import firstair.cli.Cli;
 import firstair.simhost.SimHost;
 import firstair.simhost.WireException;
 import java.io.IOException;
-import java.util.concurrent.atomic.AtomicReference;
 
-/** The command line. */
+/**
+ * Where the program starts. The two commands that deployments run are told apart by hand, so that a relay loads no
+ * class of the command line; everything else is {@link Cli}'s.
+ */
 public final class Main {
     private Main() { }
 
-    /** Runs a subcommand. */
+    /** Runs a command and ends with its status. */
     public static void main(String[] args) throws IOException, InterruptedException {
         int status = run(args);
         if (status != 0) {
@@ -21,56 +20,21 @@
         }
     }
 
-    /** Runs a subcommand and returns the exit status. */
+    /** Runs a command and returns the exit status. */
     static int run(String[] args) throws IOException, InterruptedException {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
+        String alone = args.length == 1 ? args[0] : "";
+        switch (alone) {
             case "serve":
-                return serve();
+                return Serve.run(System.getenv());
             case "simhost":
                 return simhost();
             default:
-                System.err.println("usage: firstair serve | simhost");
-                System.err.println("  serve     run one relay, configured by ROUTER_CONFIG and ROUTER_STATE");
-                System.err.println("  simhost   host the decisions on the simulator's wire (standard streams)");
-                return 2;
+                return Cli.run(args);
         }
     }
 
-    private static int serve() throws IOException, InterruptedException {
-        Logs.install();
-        AtomicReference<Relay> serving = new AtomicReference<>();
-        Signals.onHangup(() -> { // before anything else: a relay that is still starting must not end by it either
-            Relay r = serving.get();
-            if (r != null) {
-                r.reload(() -> Config.read(System.getenv()));
-            }
-        });
-        Relay relay;
-        try {
-            relay = new Relay(Config.read(System.getenv()));
-        } catch (ConfigException e) {
-            System.err.println("firstair: " + e.getMessage());
-            return 2;
-        } catch (IOException e) {
-            return failed(e);
-        }
-        serving.set(relay);
-        Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
-        try {
-            relay.run();
-            return 0;
-        } catch (IOException e) {
-            return failed(e);
-        }
-    }
-
-    private static int failed(IOException e) {
-        System.err.println("firstair: " + e);
-        return 1;
-    }
-
-    private static int simhost() throws IOException {
+    /** Hosts the decisions on the simulator's wire, over the standard streams; returns the exit status. */
+    public static int simhost() throws IOException {
         try {
             new SimHost(System.in, System.out).run();
             return 0;
--- /dev/null
+++ b/src/main/java/firstair/Serve.java
@@ -0,0 +1,53 @@
+package firstair;
+
+import firstair.relay.Config;
+import firstair.relay.ConfigException;
+import firstair.relay.Logs;
+import firstair.relay.Own;
+import firstair.relay.Relay;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** Runs one relay in this process until it is told to end. */
+public final class Serve {
+    private Serve() { }
+
+    /**
+     * Serves by the configuration that an environment names ({@code ROUTER_CONFIG}, {@code ROUTER_STATE}).
+     *
+     * @return the exit status: 0 ended in order, 1 failed, 2 the configuration cannot be used
+     */
+    public static int run(Map<String, String> env) throws InterruptedException {
+        Logs.install();
+        AtomicReference<Relay> serving = new AtomicReference<>();
+        Signals.onHangup(() -> { // before anything else: a relay that is still starting must not end by it either
+            Relay r = serving.get();
+            if (r != null) {
+                r.reload(() -> Config.read(env), () -> Own.read(env));
+            }
+        });
+        Relay relay;
+        try {
+            relay = new Relay(Config.read(env).with(Own.read(env)));
+        } catch (ConfigException e) {
+            e.lines().forEach(l -> System.err.println("firstair: " + l));
+            return 2;
+        } catch (IOException e) {
+            return failed(e);
+        }
+        serving.set(relay);
+        Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
+        try {
+            relay.run();
+            return 0;
+        } catch (IOException e) {
+            return failed(e);
+        }
+    }
+
+    private static int failed(IOException e) {
+        System.err.println("firstair: " + e);
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/firstair/cli/SimhostCommand.java
@@ -0,0 +1,15 @@
+package firstair.cli;
+
+import firstair.Main;
+import java.io.IOException;
+import picocli.CommandLine.Command;
+
+/** Hosts the decisions on the simulator's wire. */
+@Command(name = "simhost", mixinStandardHelpOptions = true,
+        description = "Hosts the decisions on the simulator's wire, over the standard streams.")
+public final class SimhostCommand implements Part {
+    @Override
+    public Integer call() throws IOException {
+        return Main.simhost();
+    }
+}
--- /dev/null
+++ b/src/main/java/firstair/config/Values.java
@@ -0,0 +1,61 @@
+package firstair.config;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Values that were set, by their paths; what nobody set is not here. */
+public final class Values {
+    /** No value is set. */
+    public static final Values NONE = new Values(Map.of());
+
+    /**
+     * A value, in its kind's unit.
+     *
+     * @param origin   where it was set
+     * @param overrode where it was set as well and did not count, empty if nowhere
+     */
+    public record Value(double value, String origin, String overrode) { }
+
+    private final Map<String, Value> set;
+
+    private Values(Map<String, Value> set) {
+        this.set = set;
+    }
+
+    /** The values of a map. */
+    public static Values of(Map<String, Value> set) {
+        return set.isEmpty() ? NONE : new Values(new LinkedHashMap<>(set));
+    }
+
+    /** These values, and where both set one, those of {@code first}. */
+    public Values under(Values first) {
+        Map<String, Value> all = new LinkedHashMap<>(set);
+        first.set.forEach((path, v) -> {
+            Value lost = set.get(path);
+            all.put(path, lost == null ? v : new Value(v.value(), v.origin(), lost.origin()));
+        });
+        return of(all);
+    }
+
+    /** Whether nothing is set. */
+    public boolean isEmpty() {
+        return set.isEmpty();
+    }
+
+    /** A value, or null where nobody set it. */
+    public Value value(String path) {
+        return set.get(path);
+    }
+
+    /** A number: what was set, or else {@code otherwise}. */
+    public double number(String path, double otherwise) {
+        Value v = set.get(path);
+        return v == null ? otherwise : v.value();
+    }
+
+    /** A whole number: what was set, or else {@code otherwise}. */
+    public int whole(String path, int otherwise) {
+        Value v = set.get(path);
+        return v == null ? otherwise : (int) v.value();
+    }
+}
--- a/src/main/java/firstair/kit/run/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.glassfish.grizzly.Grizzly;
+import org.tomlj.Toml;
 
 /** The program as a process of its own, and a client of it. */
 public final class Node {
@@ -38,6 +39,7 @@
     private int sockets = 1024;
     private String listen = "127.0.0.1:0";
     private int niceness;
+    private Path settings;
     private Process process;
     private Thread reader;
     private InetSocketAddress address;
@@ -59,6 +61,11 @@
         sockets = most;
     }
 
+    /** A file with settings of ours. */
+    public void settings(Path file) {
+        settings = file;
+    }
+
     /** How much less than others it gets of the cores, from 0 to 19. */
     public void niceness(int by) {
         niceness = by;
@@ -144,15 +151,22 @@
     public void launch() throws Exception {
         Files.createDirectories(state());
         Path file = write();
+        List<String> classPath = new ArrayList<>(List.of(place(Main.class), place(Grizzly.class), place(Gson.class)));
+        if (settings != null) { // without them a relay needs no reader of them
+            classPath.add(place(Toml.class));
+            classPath.add(place(Class.forName("org.antlr.v4.runtime.CharStream")));
+        }
         List<String> command = List.of("nice", "-n", String.valueOf(niceness), "sh",
                 Path.of("deploy", "run.sh").toString(), "-cp",
-                String.join(System.getProperty("path.separator"), place(Main.class), place(Grizzly.class),
-                        place(Gson.class)), "firstair.Main", "serve"); // as a deployment runs it
+                String.join(System.getProperty("path.separator"), classPath), "firstair.Main", "serve");
         ProcessBuilder b = new ProcessBuilder(command);
         b.environment().merge("PATH", Path.of(System.getProperty("java.home"), "bin").toString(),
                 (path, java) -> java + System.getProperty("path.separator") + path);
         b.environment().put("ROUTER_CONFIG", file.toString());
         b.environment().put("ROUTER_STATE", state().toString());
+        if (settings != null) {
+            b.environment().put("FIRSTAIR_SETTINGS", settings.toString());
+        }
         b.redirectErrorStream(true);
         synchronized (log) {
             log.clear();
--- a/src/main/java/firstair/kit/soak/Soak.java
+++ b/src/main/java/firstair/kit/soak/Soak.java
@@ -30,10 +30,9 @@
 /**
  * A relay process under a steady load, with a platform that moves at each SIGHUP and whose connections for notices
  * fail, and partners of which some hang, refuse or are not there. It holds the relay to its promise from the outside:
- * what was answered 202 is delivered, or its notice comes in time. {@code java -cp target/firstair.jar
- * firstair.kit.soak.Soak --help} lists the options; status 0 if every promise was kept.
+ * what was answered 202 is delivered, or its notice comes in time.
  */
-public final class Soak {
+final class Soak {
     private static final double LATEST_MS = 300;    // after its time a message must have its end
     private static final int ANSWER_MS = 400;       // a client waits so long
     private static final int KEPT_ROUNDS = 600;
@@ -44,7 +43,7 @@
     private static final int FAILS = 14;
 
     /** What is asked of one run. */
-    private record Plan(double seconds, int perSecond, double hangUpEveryS, boolean faulty, int niceness, int burners,
+    record Plan(double seconds, int perSecond, double hangUpEveryS, boolean faulty, int niceness, int burners,
             long seed) { }
 
     /** A message that a relay took: until when it must have ended, on the clock of {@link System#nanoTime}. */
@@ -68,46 +67,19 @@
     private Node node;
     private MovingPlatform platform;
 
-    private Soak(Plan plan) {
+    Soak(Plan plan) {
         this.plan = plan;
         this.random = new Random(plan.seed());
     }
 
-    /** Runs one soak. */
-    public static void main(String[] args) throws Exception {
-        Map<String, String> given = new ConcurrentHashMap<>();
-        for (int i = 0; i + 1 < args.length; i += 2) {
-            given.put(args[i], args[i + 1]);
-        }
-        if (args.length % 2 != 0) {
-            System.out.println("""
-                    Soak: one relay under load, a platform that moves and fails, and a verdict
-                      --seconds 600     how long
-                      --rate 100        messages a second
-                      --hup 1.0         seconds between two SIGHUPs with a new place, 0 for none
-                      --faults true     whether connections for notices fail
-                      --nice 0          how far the relay's process stands back, 0 to 19
-                      --burn 0          busy threads beside it
-                      --seed 1          of all draws""");
-            System.exit(2);
-        }
-        Plan plan = new Plan(Double.parseDouble(given.getOrDefault("--seconds", "600")),
-                Integer.parseInt(given.getOrDefault("--rate", "100")),
-                Double.parseDouble(given.getOrDefault("--hup", "1")),
-                Boolean.parseBoolean(given.getOrDefault("--faults", "true")),
-                Integer.parseInt(given.getOrDefault("--nice", "0")),
-                Integer.parseInt(given.getOrDefault("--burn", "0")),
-                Long.parseLong(given.getOrDefault("--seed", "1")));
-        System.exit(new Soak(plan).run() ? 0 : 1);
-    }
-
     private static Thread daemon(Runnable r) {
         Thread t = new Thread(r, "soak");
         t.setDaemon(true);
         return t;
     }
 
-    private boolean run() throws Exception {
+    /** Runs it, telling on standard output how it goes; true if every promise was kept. */
+    boolean run() throws Exception {
         System.out.println("soak " + plan);
         Path folder = Files.createTempDirectory("firstair-soak");
         StandIn good = new StandIn(this::deliver);
@@ -314,8 +286,9 @@
 
     private void tell(long started) {
         try {
-            System.out.printf(Locale.ROOT, "  %4.0f s  taken %d refused %d unanswered %d  delivered %d noticed %d lost %d "
-                            + "open %d  posts %d  memory %d KiB  descriptors %d%n", (System.nanoTime() - started) / 1e9,
+            System.out.printf(Locale.ROOT, "  %4.0f s  taken %d refused %d unanswered %d  delivered %d noticed %d "
+                            + "lost %d open %d  posts %d  memory %d KiB  descriptors %d%n",
+                    (System.nanoTime() - started) / 1e9,
                     taken.get(), refused.get(), silent.get(), deliveredInTime.get(), noticed.get(), lost.get(),
                     open.size(), platform.posts(), node.memoryKb(), node.descriptors());
         } catch (IOException e) {
--- a/src/main/java/firstair/relay/Config.java
+++ b/src/main/java/firstair/relay/Config.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import firstair.config.Values;
 import firstair.control.Controller;
 import firstair.relay.discovery.Listed;
 import firstair.settings.Facts;
@@ -23,9 +24,11 @@
  * @param known   the list of endpoints as last held, or null
  * @param kinds   names of the kinds of destination, in the order of their numbers
  * @param zones   names of the zones, in the order of their numbers
+ * @param own     settings that are ours, as far as anybody set them
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
-        Limits limits, Controller.Settings settings, Listed known, List<String> kinds, List<String> zones) {
+        Limits limits, Controller.Settings settings, Listed known, List<String> kinds, List<String> zones,
+        Values own) {
 
     private static final int HEX = 16;
 
@@ -66,7 +69,12 @@
                 Limits.of((int) top.whole("limits.sockets", 0), (int) top.whole("limits.disk_mb", 0),
                         Runtime.getRuntime().maxMemory(), site.number("quantum", 0),
                         settings.limits().connectTimeoutMs(), settings.limits().connectionIdleMs()),
-                settings, known(root, kinds, zones), kinds, zones);
+                settings, known(root, kinds, zones), kinds, zones, Values.NONE);
+    }
+
+    /** The same with settings of ours. */
+    public Config with(Values settingsOfOurs) {
+        return new Config(name, listen, discovery, state, seed, limits, settings, known, kinds, zones, settingsOfOurs);
     }
 
     private static JsonObject object(JsonObject root, String name) {
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -1,5 +1,7 @@
 package firstair.relay;
 
+import firstair.config.Values;
+
 /**
  * Every size, count and time of the relay itself, filled once at start and handed down. What the site permits
  * a controller is in its settings; nothing here decides about a message.
@@ -128,7 +130,40 @@
                 Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
                 REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_SILENCE_MS, LIST_SILENCE_MS,
                 LIST_LINE, new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS, NOTICE_ANSWER_MS, NOTICE_LEAST_MS,
-                NOTICE_MOST_MS, NOTICE_PAUSE_MS, NOTICE_URGENT_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS), OVERDUE_MS, RELOAD_MS,
-                OPEN_MS, DRAIN_ACCEPT_MS, DRAIN_CALLS_MS, DRAIN_MS);
+                NOTICE_MOST_MS, NOTICE_PAUSE_MS, NOTICE_URGENT_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS),
+                OVERDUE_MS, RELOAD_MS, OPEN_MS, DRAIN_ACCEPT_MS, DRAIN_CALLS_MS, DRAIN_MS);
+    }
+
+    /** These limits with what an installation sets of its own; {@link Own#schema} tells what it may. */
+    public Limits tuned(Values own) {
+        if (own.isEmpty()) {
+            return this;
+        }
+        Notices n = notices;
+        return new Limits(sockets, diskBytes, maxBody, maxHead, maxClients, crowd, maxLinks, readBuffer, backlog,
+                roundMs, connectMs, idleMs, own.number("endpoints.halt", haltMs), sweepMs,
+                own.number("endpoints.empty", emptyMs),
+                own.number("endpoints.answer", answerMs), own.number("endpoints.rest", restMs),
+                own.number("clients.first", firstMs), own.number("clients.request", requestMs),
+                own.number("clients.crowded", crowdedMs), own.number("clients.idle", clientIdleMs),
+                own.number("clients.linger", lingerMs), own.whole("clients.linger_bytes", lingerBytes),
+                own.number("list.answer", listAnswerMs), own.number("list.silence", listSilenceMs),
+                own.whole("list.line", listLine),
+                new Notices(n.dueMs, n.returnMs, own.number("platform.answer", n.answerMs),
+                        own.number("platform.least", n.leastMs), own.number("platform.most", n.mostMs),
+                        own.number("platform.pause", n.pauseMs), own.number("platform.urgent_pause", n.urgentPauseMs),
+                        own.number("platform.most_pause", n.pauseMostMs), n.bytes,
+                        own.whole("platform.posts", n.posts)),
+                own.number("messages.overdue", overdueMs), own.number("start.reload", reloadMs),
+                own.number("start.open", openMs), own.number("drain.accept", drainAcceptMs),
+                own.number("drain.calls", drainCallsMs), own.number("drain.end", drainMs));
+    }
+
+    /** These limits, but for those of {@code next} that a running relay takes over. */
+    Limits reloaded(Limits next) {
+        return new Limits(sockets, diskBytes, maxBody, maxHead, maxClients, crowd, maxLinks, readBuffer, backlog,
+                roundMs, connectMs, idleMs, haltMs, sweepMs, emptyMs, answerMs, restMs, firstMs, requestMs, crowdedMs,
+                clientIdleMs, lingerMs, lingerBytes, listAnswerMs, listSilenceMs, listLine, next.notices,
+                next.overdueMs, next.reloadMs, openMs, drainAcceptMs, drainCallsMs, drainMs);
     }
 }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -1,5 +1,6 @@
 package firstair.relay;
 
+import firstair.config.Values;
 import firstair.control.Control;
 import firstair.control.Controller;
 import firstair.control.Controller.Effect;
@@ -32,6 +33,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -69,7 +71,7 @@
     private record Planned(String endpoint, Item item) { }
 
     private final Config config;
-    private final Limits limits;
+    private volatile Limits limits; // of them a running relay takes over what the schema says
     private final Loop loop;
     private final Wire wire;
     private final Store store;
@@ -92,6 +94,7 @@
     private boolean listen;
     private Connection<?> listener;
     private Loop.Timer opening; // until clients may come
+    private Values own; // in force
     private IOException failure;
     private String takenUp;
     private volatile boolean ready;
@@ -110,7 +113,8 @@
 
     Relay(Config config, Decisions decisions) throws IOException {
         this.config = config;
-        limits = config.limits();
+        own = config.own();
+        limits = config.limits().tuned(own);
         loop = new Loop(limits.roundMs());
         List<MessageClass> all = config.settings().classes();
         for (int i = 0; i < all.size(); i++) {
@@ -198,26 +202,42 @@
      * on is not touched. A file that cannot be used may be one that is being written: it is read again for a little.
      * One that stays so changes nothing; what else a usable one changes waits for the next start.
      */
-    public void reload(Supplier<Config> read) {
+    public void reload(Supplier<Config> read, Supplier<Values> ours) {
         synchronized (reloading) { // the last of several signals must win
-            long end = System.nanoTime() + (long) (limits.reloadMs() * 1e6);
-            while (true) {
-                String why;
-                try {
-                    Config next = read.get();
-                    loop.post(() -> moved(next));
-                    return;
-                } catch (ConfigException e) {
-                    why = e.getMessage();
-                } catch (RuntimeException e) {
-                    why = "configuration: " + e;
-                }
-                if (System.nanoTime() > end || !paused()) {
-                    LOG.warning(why + "; the configuration read before stays");
-                    return;
-                }
+            again(read, next -> loop.post(() -> moved(next)), "configuration");
+            again(ours, next -> loop.post(() -> tuned(next)), "settings"); // behind it: discovery has moved by now
+        }
+    }
+
+    private <T> void again(Supplier<T> read, Consumer<T> use, String name) {
+        long end = System.nanoTime() + (long) (limits.reloadMs() * 1e6);
+        while (true) {
+            List<String> why;
+            try {
+                use.accept(read.get());
+                return;
+            } catch (ConfigException e) {
+                why = e.lines();
+            } catch (RuntimeException e) {
+                why = List.of(name + ": " + e);
             }
+            if (System.nanoTime() > end || !paused()) {
+                why.forEach(l -> LOG.warning(l + "; the " + name + " read before stays"));
+                return;
+            }
+        }
+    }
+
+    /** Takes over what a running relay can of settings of ours, and tells what waits for the next start. */
+    private void tuned(Values next) {
+        if (next.isEmpty() && own.isEmpty()) {
+            return;
         }
+        Own.changes(own, next).forEach(LOG::info);
+        Limits all = config.limits().tuned(next);
+        notices.tune(all.notices());
+        limits = limits.reloaded(all);
+        own = next;
     }
 
     private boolean paused() {
--- a/src/main/java/firstair/relay/platform/NoticePlan.java
+++ b/src/main/java/firstair/relay/platform/NoticePlan.java
@@ -77,7 +77,7 @@
         }
     }
 
-    private final Limits.Notices limits;
+    private Limits.Notices limits;
     private final RandomGenerator random;
     private final Map<Long, Notice> owed = new LinkedHashMap<>();
     private final List<Post> out = new ArrayList<>();
@@ -93,6 +93,12 @@
         this.pause = limits.pauseMs();
     }
 
+    /** Other limits hold from now on; posts that are out keep the times that they were given. */
+    void tune(Limits.Notices to) {
+        limits = to;
+        pause = Math.min(pause, to.pauseMostMs());
+    }
+
     /** A notice is owed from now on, and is in time until {@code dueAt}. */
     void add(long id, byte[] text, double dueAt) {
         owed.putIfAbsent(id, new Notice(id, text, dueAt));
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -28,7 +28,8 @@
     private static final int CONFIRMED = 204;
 
     private final Dialer dialer;
-    private final Limits limits;
+    private final int maxBody;
+    private Limits.Notices limits;
     private final Loop loop;
     private final LongConsumer confirmed;
     private final NoticePlan plan;
@@ -42,7 +43,8 @@
     public Notices(Dialer dialer, Limits limits, Loop loop, InetSocketAddress address, RandomGenerator random,
             LongConsumer confirmed) {
         this.dialer = dialer;
-        this.limits = limits;
+        this.maxBody = limits.maxBody();
+        this.limits = limits.notices();
         this.loop = loop;
         this.address = address;
         this.confirmed = confirmed;
@@ -78,6 +80,12 @@
         flush();
     }
 
+    /** Other limits hold from now on. */
+    public void tune(Limits.Notices to) {
+        limits = to;
+        plan.tune(to);
+    }
+
     /** How many notices are not confirmed. */
     public int owed() {
         return plan.owed();
@@ -148,7 +156,7 @@
                 plan.slow(planned);
                 flush();
             });
-            late = loop.after(limits.notices().answerMs(), () -> end(status, false));
+            late = loop.after(limits.answerMs(), () -> end(status, false));
             byte[] request = HttpWriter.request("POST", "/status", HostPort.of(to))
                     .header("Content-Type", "application/x-ndjson").body(planned.body());
             try {
@@ -160,7 +168,7 @@
                         return;
                     }
                 }
-                link = dialer.open(to, limits.maxBody(), request, this, () -> { });
+                link = dialer.open(to, maxBody, request, this, () -> { });
             } catch (RuntimeException e) {
                 LOG.log(Level.SEVERE, "fault under a notice", e);
                 loop.post(() -> end(NoticePlan.NONE, false));
--- /dev/null
+++ b/src/test/java/firstair/cli/CliTest.java
@@ -0,0 +1,71 @@
+package firstair.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CliTest {
+    private final PrintStream out = System.out;
+    private final PrintStream err = System.err;
+    private final ByteArrayOutputStream told = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream wrong = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void listen() {
+        System.setOut(new PrintStream(told, true, StandardCharsets.UTF_8));
+        System.setErr(new PrintStream(wrong, true, StandardCharsets.UTF_8));
+    }
+
+    @AfterEach
+    void leave() {
+        System.setOut(out);
+        System.setErr(err);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "serve", "simhost", "config", "config check", "config show", "soak"})
+    void everyCommandHasHelp(String command) {
+        assertThat(Cli.run((command + " --help").trim().split(" "))).isZero();
+        assertThat(told.toString(StandardCharsets.UTF_8)).contains("Usage: firstair").contains(command);
+        assertThat(wrong.size()).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"served", "serve --stat x", "config check --config", "soak --rate many", "config"})
+    void whatCannotBeUsedIsStatusTwo(String line) {
+        assertThat(Cli.run(line.split(" "))).isEqualTo(2);
+        assertThat(wrong.size()).isPositive();
+    }
+
+    @Test
+    void aConfigurationIsCheckedAndShownByItsFlags(@TempDir Path folder) throws Exception {
+        String[] flags = {"config", "check", "--config", "examples/config.json", "--state", folder.toString()};
+        assertThat(Cli.run(flags)).isZero();
+        flags[1] = "show";
+        assertThat(Cli.run(flags)).isZero();
+        assertThat(told.toString(StandardCharsets.UTF_8)).contains("can be used", "ROUTER_CONFIG: flag",
+                "limits.maxBody = 65536", "limits.notices.dueMs = 300.0");
+        Path bad = folder.resolve("bad.json");
+        Files.writeString(bad, Files.readString(Path.of("examples", "config.json")).replace("127.0.0.1:9000", "x"));
+        assertThat(Cli.run("config", "check", "--config", bad.toString(), "--state", folder.toString())).isEqualTo(2);
+        assertThat(wrong.toString(StandardCharsets.UTF_8).lines()).singleElement().asString()
+                .startsWith("firstair: config: field listen");
+    }
+
+    @Test
+    void versionAndCompletion() {
+        assertThat(Cli.run("--version")).isZero();
+        assertThat(Cli.run("generate-completion")).isZero();
+        assertThat(told.toString(StandardCharsets.UTF_8)).contains("firstair ").contains("_complete_firstair");
+    }
+}
--- /dev/null
+++ b/src/test/java/firstair/config/ReadTest.java
@@ -0,0 +1,114 @@
+package firstair.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class ReadTest {
+    private static final Schema SCHEMA = new Schema().table("a", "First")
+            .item("wait", Kind.DURATION, "1s", 10, 60_000, true, "waits")
+            .item("room", Kind.SIZE, "64KiB", 0, 1 << 20, false, "room")
+            .table("b.c", "Second")
+            .item("many", Kind.COUNT, "8", 1, 100, true, "how many")
+            .item("part", Kind.SHARE, "25%", 0, 1, true, "a part")
+            .item("on", Kind.FLAG, "true", 0, 1, true, "whether");
+
+    private static Read read(String text) {
+        return Read.toml("f", text.getBytes(StandardCharsets.UTF_8), SCHEMA);
+    }
+
+    private static List<String> faults(String text) {
+        return read(text).faults().stream().map(Fault::toString).toList();
+    }
+
+    @Test
+    void everyKindIsReadInItsUnit() {
+        Read r = read("\uFEFF[a]\r\nwait = \"1.5s\"\r\nroom = \"2KiB\"\r\n"
+                + "[b.c]\r\nmany = 7\r\npart = \"12.5%\"\r\non = false\r\n");
+        assertThat(r.faults()).isEmpty();
+        assertThat(r.values().number("a.wait", 0)).isEqualTo(1500);
+        assertThat(r.values().whole("a.room", 0)).isEqualTo(2048);
+        assertThat(r.values().whole("b.c.many", 0)).isEqualTo(7);
+        assertThat(r.values().number("b.c.part", 0)).isEqualTo(0.125);
+        assertThat(r.values().number("b.c.on", 9)).isZero();
+        assertThat(r.values().value("a.wait").origin()).isEqualTo("f:2");
+    }
+
+    @Test
+    void allFaultsAreToldAtOnceWithTheirPlaces() {
+        assertThat(faults("[a]\nwiat = \"1s\"\nroom = \"2MB\"\n[b.c]\nmany = 0\non = 1\npart = 3\n")).containsExactly(
+                "f:2:1: a.wiat: no such name; did you mean a.wait?",
+                "f:3:1: a.room: found 2MB, allowed is a size such as \"64KiB\", \"4MiB\" or \"3MB\" from 0B to 1MiB",
+                "f:5:1: b.c.many: found 0, allowed is a whole number from 1 to 100",
+                "f:6:1: b.c.on: found 1, allowed is true or false",
+                "f:7:1: b.c.part: found 3, allowed is a share such as \"25%\" from 0% to 100%");
+    }
+
+    @Test
+    void whatIsNoTomlOrNoTextHasAPlace() {
+        assertThat(faults("[a]\nwait = \"1s\"\n[a]\nroom = \"1B\"\n")).singleElement().asString().startsWith("f:3:");
+        assertThat(faults("[a]\nwait = \"1s")).singleElement().asString().startsWith("f:2:");
+        assertThat(Read.toml("f", new byte[] {'[', 'a', ']', '\n', 'x', (byte) 0xC3, '('}, SCHEMA).faults())
+                .singleElement().asString().isEqualTo("f:2:2: a byte that is no UTF-8");
+        assertThat(Read.toml("f", new byte[10 << 20], SCHEMA).faults()).singleElement().asString()
+                .contains("1048576 at most");
+        assertThat(faults("a = " + "[".repeat(5000))).singleElement().asString().contains("brackets");
+    }
+
+    @Test
+    void whatAFileSaysForgesNoLineOfOurs() {
+        assertThat(faults("\"x\\n14:00 INFO all is well\" = 1\n")).singleElement().asString()
+                .doesNotContain("\n").startsWith("f:1:1: x 14:00 INFO all is well");
+    }
+
+    @Test
+    void oneSourceGoesBeforeTheOtherAndBothAreTold() {
+        Values file = read("[a]\nwait = \"1s\"\nroom = \"1B\"\n").values();
+        Values flags = Read.texts(Map.of("a.wait", "2s"), Map.of("a.wait", "flag"), SCHEMA).values();
+        Values all = file.under(flags);
+        assertThat(all.number("a.wait", 0)).isEqualTo(2000);
+        assertThat(all.value("a.wait").overrode()).isEqualTo("f:2");
+        assertThat(all.whole("a.room", 0)).isEqualTo(1);
+    }
+
+    @Provide
+    Arbitrary<String> nearlyRight() {
+        Arbitrary<String> piece = Arbitraries.of("[a]", "[b.c]", "[[a]]", "wait", "room", "many", " = ",
+                "\"1s\"", "'x'",
+                "\n", "\r\n", "1", "-0.5", "true", "{", "}", "[", "]", "\"", "\"\"\"", "#", ".", "1979-05-27", "\u0000",
+                "\\u", "\uD800", "é", "a.b.c.d = 1\n", ",", "nan", "0x", "_");
+        return piece.list().ofMaxSize(30).map(l -> String.join("", l));
+    }
+
+    @Property(tries = 2000)
+    void anyNearlyRightFileEndsInValuesOrInPlacedFaults(@ForAll("nearlyRight") String text) {
+        Read r = read(text);
+        for (Fault f : r.faults()) {
+            assertThat(f.toString()).startsWith("f").doesNotContain("\n");
+        }
+    }
+
+    @Property(tries = 2000)
+    void anyBytesEndInValuesOrFaults(@ForAll byte[] bytes) {
+        assertThat(Read.toml("f", bytes, SCHEMA)).isNotNull();
+    }
+
+    @Property
+    void whatIsWrittenIsReadAgain(@ForAll Kind kind, @ForAll("amounts") int n) {
+        double value = kind == Kind.FLAG ? n % 2 : kind == Kind.SHARE ? n % 101 / 100.0 : n;
+        assertThat(kind.read(kind.write(value))).isCloseTo(value, org.assertj.core.data.Offset.offset(1e-6));
+    }
+
+    @Provide
+    Arbitrary<Integer> amounts() {
+        return Arbitraries.integers().between(0, 1_000_000_000);
+    }
+}
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -460,6 +460,35 @@
         assertThat(node.log()).filteredOn(l -> l.contains("read before stays")).hasSize(2);
     }
 
+    @Test
+    void settingsOfOursAreTakenOverWhereTheyCanBeAndTheLastUsableOnesStay() throws Exception {
+        Path file = folder.resolve("settings.toml");
+        Files.writeString(file, "[platform]\nposts = 4\n[start]\nreload = \"200ms\"\n");
+        node.settings(file);
+        node.start();
+        Files.writeString(file, "[platform]\nposts = 3\n[clients]\nidle = \"3s\"\n[start]\nreload = \"100ms\"\n");
+        node.signalHangUp();
+        assertThat(node.line("platform.posts")).contains("is 3, was 4").doesNotContain("next start");
+        assertThat(node.line("clients.idle")).contains("is 3s, was 2s; waits for the next start");
+        Files.writeString(file, "[platform]\nposts = 1\nhalf");
+        node.signalHangUp();
+        assertThat(node.line("the settings read before stays")).contains("settings.toml:3:");
+        Files.delete(file);
+        node.signalHangUp();
+        assertThat(node.line("cannot be read")).contains("the settings read before stays");
+        assertThat(node.handIn("m1", "safe", 5000, DEST, null, new byte[1])).contains(" 202 ");
+    }
+
+    @Test
+    void settingsThatCannotBeUsedEndTheStartWithALineForEachFault() throws Exception {
+        Path file = folder.resolve("settings.toml");
+        Files.writeString(file, "[platform]\npost = 4\nleast = 5\n");
+        node.settings(file);
+        node.launch();
+        assertThat(node.status()).isEqualTo(2);
+        assertThat(node.log()).hasSize(2).allMatch(l -> l.matches("firstair: .*settings.toml:[23]:1: platform\\..*"));
+    }
+
     @Test
     void atAHangUpAFileThatIsStillBeingWrittenIsReadAgain() throws Exception {
         node.start();
