Soak: an absent partner's port is held, and the platform answers nothing but its own

Need: ten minutes ended with 10 of 59,907 messages without an end. All ten were for the absent partner, within 3 s: its port was free, the platform's stand-in, which takes a new port each second, got it, and answered calls with 200. Change: the port stays bound without listening; other paths get 404.

--- a/src/main/java/firstair/kit/soak/Soak.java
+++ b/src/main/java/firstair/kit/soak/Soak.java
@@ -6,8 +6,8 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -86,10 +86,9 @@
         StandIn hangs = new StandIn(r -> { });
         StandIn waits = new StandIn(r -> r.answer(429, "Retry-After: 0.8"));
         StandIn fails = new StandIn(r -> r.answer(500));
-        String nowhere;
-        try (ServerSocket gone = new ServerSocket(0)) {
-            nowhere = "127.0.0.1:" + gone.getLocalPort();
-        }
+        Socket held = new Socket(); // bound and not listening: a free port would be some other stand-in's before long
+        held.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        String nowhere = "127.0.0.1:" + held.getLocalPort();
         List<String> lines = new ArrayList<>();
         for (int d : GOOD) {
             lines.add(endpoint("good" + d, d, good.hostPort()));
@@ -137,6 +136,7 @@
         told.forEach((l, n) -> System.out.println("  log, " + n + " times: " + l));
         System.out.println("  connections for notices: " + platform.drawn());
         node.kill();
+        held.close();
         boolean kept = lost.get() == 0 && endless.get() == 0 && taken.get() > 0;
         System.out.printf(Locale.ROOT, "%s: taken %d, delivered %d, by notice %d, lost %d, without an end %d; "
                         + "latest notice %.0f ms after its message's time%n",
--- a/src/main/java/firstair/kit/standin/MovingPlatform.java
+++ b/src/main/java/firstair/kit/standin/MovingPlatform.java
@@ -125,6 +125,8 @@
                 chunk(r, list);
                 watches.add(r);
             }
+        } else if (!r.target().startsWith("/api/targets")) {
+            r.answer(404);
         } else {
             r.answer(200, list.getBytes(StandardCharsets.UTF_8));
         }
