Whoever logs never waits for standard error; what finds no room is counted and told

Need: standard error may be a pipe that nobody reads. The thread that serves wrote the log itself: a full pipe stopped deliveries and the drain.

--- a/src/main/java/firstair/Serve.java
+++ b/src/main/java/firstair/Serve.java
@@ -37,7 +37,10 @@
             return failed(e);
         }
         serving.set(relay);
-        Runtime.getRuntime().addShutdownHook(new Thread(relay::stop, "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            relay.stop();
+            Logs.drain();
+        }, "stop"));
         try {
             relay.run();
             return 0;
--- a/src/main/java/firstair/kit/run/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -40,6 +40,7 @@
     private String listen = "127.0.0.1:0";
     private int niceness;
     private Path settings;
+    private volatile boolean unread;
     private Process process;
     private Thread reader;
     private InetSocketAddress address;
@@ -61,6 +62,11 @@
         sockets = most;
     }
 
+    /** From now on nobody reads its log. */
+    public void leaveLogUnread() {
+        unread = true;
+    }
+
     /** A file with settings of ours. */
     public void settings(Path file) {
         settings = file;
@@ -182,10 +188,15 @@
         try (BufferedReader in = new BufferedReader(new InputStreamReader(from, StandardCharsets.UTF_8))) {
             for (String l = in.readLine(); l != null; l = in.readLine()) {
                 synchronized (log) {
+                    while (unread) {
+                        log.wait();
+                    }
                     log.add(l);
                     log.notifyAll();
                 }
             }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } catch (IOException e) {
             // the process is gone
         }
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -460,6 +460,26 @@
         assertThat(node.log()).filteredOn(l -> l.contains("read before stays")).hasSize(2);
     }
 
+    @Test
+    void aLogThatNobodyReadsHoldsUpNeitherDeliveryNorTheEnd() throws Exception {
+        node.start();
+        node.leaveLogUnread();
+        byte[] body = new byte[1];
+        platform.noticeStatus(503); // a line for each notice, and it is repeated for ever
+        behaviour = r -> r.answer(503);
+        for (int i = 0; i < 40; i++) {
+            node.handIn("x" + i, "unsafe", 100, DEST, null, body);
+        }
+        for (int i = 0; i < 1300; i++) { // a pipe holds 64 KiB
+            node.signalHangUp();
+        }
+        behaviour = r -> r.answer(200);
+        assertThat(node.handIn("m1", "safe", 9000, DEST, null, body)).contains(" 202 ");
+        Await.until("a delivery", () -> calls.stream().anyMatch(r -> "m1".equals(r.header("request-id"))));
+        node.terminate();
+        assertThat(node.ended(3700)).isTrue();
+    }
+
     @Test
     void settingsOfOursAreTakenOverWhereTheyCanBeAndTheLastUsableOnesStay() throws Exception {
         Path file = folder.resolve("settings.toml");
