A told wait means shut only where answers report limits

Change: Settings.limitsTold from loadReport.how and names (absent: told, as before); judge's 'room' needs it. Not the main cause; the pace after refusals and dead idle connections are looked at next.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -347,7 +347,8 @@
         if (gone && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
         if (o.result() == Result.FULL) {
             full(now, o.waitMs(), e);
-            boolean room = (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT) && now - u.okAt > SILENT_MS;
+            boolean room = cfg.limitsTold() && now - u.okAt > SILENT_MS
+                    && (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT);
             boolean shut = c.trial || now - u.fullSince >= FULL_OUTAGE_MS;
             if (o.waitMs() >= SHUT_WAIT_MS || (shut || room) && o.waitMs() > 0) {
                 u.endpoints.forEach(x -> coldFrom(u.waitUntil, x));
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -46,9 +46,12 @@
     record Rules(double answerSlackMs, double askEveryMs, double drainGraceMs, double startCapacity,
             double warmAfterMs, double fallMultiple, double overloadForMs, double settleAfterDoubtMs) { }
 
-    /** Settings of one relay; {@code group} is the number of relays that share the destinations. */
-    record Settings(int group, int index, int zone, boolean askForList, Weight weight, LateCurve late,
-            List<MessageClass> classes, List<Kind> kinds, Limits limits, Rules rules) { }
+    /**
+     * Settings of one relay; {@code group} is the number of relays that share the destinations, and with
+     * {@code limitsTold} answers report the limit of a destination, 0 where it has none.
+     */
+    record Settings(int group, int index, int zone, boolean askForList, Weight weight, boolean limitsTold,
+            LateCurve late, List<MessageClass> classes, List<Kind> kinds, Limits limits, Rules rules) { }
 
     /** A line of the list of endpoints. */
     record Entry(String endpoint, int destination, int kind, int zone, double weight, Listing listing) { }
--- a/src/main/java/firstair/settings/Facts.java
+++ b/src/main/java/firstair/settings/Facts.java
@@ -25,10 +25,16 @@
         return new Settings(Math.max(1, (int) s.whole("groupSize", 1)), (int) s.whole("slotNo", 0),
                 (int) s.whole("az", 0), s.text("discovery", "push").equals("ask"),
                 choice(s, "weightKind", "none", "nominal", Weight.NOMINAL, "rough", Weight.ROUGH, Weight.NONE),
+                limitsTold(s),
                 choice(s, "familyInfo.late", "linear", "halving", LateCurve.HALVING, "", null, LateCurve.LINEAR),
                 classes(s), kinds(s), limits(s), rules(s));
     }
 
+    private static boolean limitsTold(Fields s) {
+        return !s.text("loadReport.how", "answers").equals("none")
+                && List.of(s.text("loadReport.names", "x1").split(",")).contains("x1");
+    }
+
     private static List<MessageClass> classes(Fields s) {
         List<MessageClass> all = new ArrayList<>();
         long count = s.whole("classes.count", 0);
--- a/src/test/java/firstair/control/Bench.java
+++ b/src/test/java/firstair/control/Bench.java
@@ -72,7 +72,7 @@
     }
 
     static Settings settings(int relays, Kind kind, int slots, MessageClass... classes) {
-        return new Settings(relays, 0, 0, false, Weight.NONE, LateCurve.LINEAR, List.of(classes), List.of(kind),
+        return new Settings(relays, 0, 0, false, Weight.NONE, true, LateCurve.LINEAR, List.of(classes), List.of(kind),
                 new Limits(slots, 100, 12, true, false, false, true, 3_000, false, 1, 1_000, 10_000),
                 new Rules(20, 10_000, 1_000, 0.25, 10_000, 1.5, 2_000, 500));
     }
