--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -31,7 +31,8 @@
     private static final double SELDOM = 0.5;              // calls a second; who calls less is one of many
     private static final int SELDOM_DOWN_AFTER = 2;        // failures in a row for it; all add up at a return
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
-    private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
+    private static final double STALE_MS = 30_000;         // no idle connection is used for so long
+    private static final double STALE_SIGN_MS = 5000;      // a new one that answers so soon proves a dead one
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
     private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
@@ -126,6 +127,7 @@
         final ArrayDeque<Double> idle = new ArrayDeque<>(); // when our idle connections were last used
         double trialAt, rampAt, rampOwed;            // next trial; last call of a return and its weight
         double noConnAt = NEVER, okSentAt = NEVER;   // last failed connect; latest send that was answered
+        double deadAt = NEVER;                       // last failure on a connection that had stood idle
         double leftAt = FOREVER;                     // since when it is no longer listed
         double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
         double slowness = 1;                                // recent durations over the usual ones
@@ -160,6 +162,7 @@
     private final double[] classUsual;
     private final double[] crowdedUntil; // for each kind: until then idle connections are closed
     private final Set<Endpoint> unused = new LinkedHashSet<>(); // gave us an answer in this round
+    private double staleUntil = NEVER; // until then idle connections are held to be dead
     private double lost;              // recent share of time-outs at endpoints that did not fail before
     private int slotsUsed;
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
@@ -289,9 +292,14 @@
             double until = now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS;
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
-        // A kept connection that was dead: no sign of sickness, no need of a pause. Failed connects do count.
+        // The first failure in a row, on a connection that stood idle: it may have been dead, which is no sign
+        // of sickness. The next call goes over a new one and tells. Failed connects do count.
         double usual = usual(m.dest, m.type);
-        boolean dead = how == Result.RESET && c.kept && o.tookMs() < DEAD * usual;
+        boolean dead = (how == Result.RESET || how == Result.TIMEOUT) && c.kept && e.failRun == 0 && !e.down;
+        if (dead) {
+            e.deadAt = now;
+            closeIdle(e);
+        }
         if (!c.judged && !dead) {
             c.judged = true; // a shared call has one fate: count it once
             judge(now, o, c, m);
@@ -333,6 +341,7 @@
             }
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
             lost -= LEARN_LOST * lost;
+            if (!c.kept && now - e.deadAt < STALE_SIGN_MS) { staleUntil = now + STALE_MS; }
             e.down = false;
             e.failRun = 0;
             e.okSentAt = Math.max(e.okSentAt, c.sentAt);
@@ -493,8 +502,7 @@
             double span = cfg.limits().connectionIdleMs() / 1000;
             boolean seldom = part(now, e.unit) / e.unit.active() * span < cfg.group();
             if (crowdedUntil[e.kindNo] > now && seldom && hasIdle(now, e)) {
-                act.closeIdle(e.name);
-                e.idle.clear();
+                closeIdle(e);
             }
         }
         unused.clear();
@@ -654,6 +662,11 @@
         return !e.idle.isEmpty();
     }
 
+    private void closeIdle(Endpoint e) {
+        if (!e.idle.isEmpty()) { act.closeIdle(e.name); }
+        e.idle.clear();
+    }
+
     /** Whether a new call may go to this endpoint now; asks for a wake-up when time alone will open it. */
     private boolean open(double now, Endpoint e) {
         Unit u = e.unit;
@@ -703,6 +716,7 @@
             e.inflight++;
             e.dest.inflight++;
             slotsUsed++;
+            if (hasIdle(now, e) && staleUntil > now) { closeIdle(e); }
             c.kept = hasIdle(now, e);
             if (c.kept) { e.idle.removeLast(); }
             refill(now, e.unit);
