--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -31,6 +31,7 @@
     private static final double SELDOM = 0.5;              // calls a second; who calls less is one of many
     private static final int SELDOM_DOWN_AFTER = 2;        // failures in a row for it; all add up at a return
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
+    private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
     private static final double STALE_MS = 30_000;         // no idle connection is used for so long
     private static final double STALE_SIGN_MS = 5000;      // a new one that answers so soon proves a dead one
     private static final double SLOW = 3;                  // so many times slower than usual is slow
@@ -90,7 +91,7 @@
         Endpoint e;
         double sentAt;
         int items, open;
-        boolean trial, judged, kept;        // kept: on a connection that has carried calls before
+        boolean trial, judged, kept;        // kept: on a connection that stood idle for longer than a call
     }
 
     private record Attempt(Msg m, Call call) { }
@@ -295,7 +296,8 @@
         // The first failure in a row, on a connection that stood idle: it may have been dead, which is no sign
         // of sickness. The next call goes over a new one and tells. Failed connects do count.
         double usual = usual(m.dest, m.type);
-        boolean dead = (how == Result.RESET || how == Result.TIMEOUT) && c.kept && e.failRun == 0 && !e.down;
+        boolean broke = how == Result.RESET && o.tookMs() < DEAD * usual;
+        boolean dead = c.kept && (broke || how == Result.TIMEOUT && e.failRun == 0 && e.deadAt < e.okSentAt);
         if (dead) {
             e.deadAt = now;
             closeIdle(e);
@@ -318,7 +320,7 @@
             m.doubtZone = e.zone;
         }
         double wait = Math.max(now, e.unit.waitUntil) - now;
-        double next = dead && m.tries == 1 ? 0 : FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++);
+        double next = dead && broke && m.tries == 1 ? 0 : FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++);
         double left = m.m.deadlineAt() - now - wait - usual;
         m.notBefore = now + wait + Math.max(0, Math.min(jittered(next), left / 2));
     }
@@ -717,8 +719,7 @@
             e.dest.inflight++;
             slotsUsed++;
             if (hasIdle(now, e) && staleUntil > now) { closeIdle(e); }
-            c.kept = hasIdle(now, e);
-            if (c.kept) { e.idle.removeLast(); }
+            c.kept = hasIdle(now, e) && now - e.idle.removeLast() > usual(m.dest, m.type);
             refill(now, e.unit);
             e.unit.tokens -= 1;
         }
