--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -33,7 +33,8 @@
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
     private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
     private static final double STALE_MS = 30_000;         // no idle connection is used for so long
-    private static final double STALE_SIGN_MS = 5000;      // a new one that answers so soon proves a dead one
+    private static final double LEARN_STALE = 0.3;         // weight of a call on one that stood idle in their share
+    private static final double MANY_STALE = 0.4;          // share that died from which that holds
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
     private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
@@ -128,7 +129,6 @@
         final ArrayDeque<Double> idle = new ArrayDeque<>(); // when our idle connections were last used
         double trialAt, rampAt, rampOwed;            // next trial; last call of a return and its weight
         double noConnAt = NEVER, okSentAt = NEVER;   // last failed connect; latest send that was answered
-        double deadAt = NEVER;                       // last failure on a connection that had stood idle
         double leftAt = FOREVER;                     // since when it is no longer listed
         double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
         double slowness = 1;                                // recent durations over the usual ones
@@ -164,6 +164,7 @@
     private final double[] crowdedUntil; // for each kind: until then idle connections are closed
     private final Set<Endpoint> unused = new LinkedHashSet<>(); // gave us an answer in this round
     private double staleUntil = NEVER; // until then idle connections are held to be dead
+    private double stale;             // recent share of calls on connections that stood idle and were dead
     private double lost;              // recent share of time-outs at endpoints that did not fail before
     private int slotsUsed;
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
@@ -293,15 +294,14 @@
             double until = now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS;
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
-        // The first failure in a row, on a connection that stood idle: it may have been dead, which is no sign
-        // of sickness. The next call goes over a new one and tells. Failed connects do count.
+        // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows it; a
+        // time-out does not, but for many such calls that die where none failed before. Failed connects do count.
         double usual = usual(m.dest, m.type);
-        boolean broke = how == Result.RESET && o.tookMs() < DEAD * usual;
-        boolean dead = c.kept && (broke || how == Result.TIMEOUT && e.failRun == 0 && e.deadAt < e.okSentAt);
-        if (dead) {
-            e.deadAt = now;
-            closeIdle(e);
-        }
+        boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
+        boolean died = broke || c.kept && how == Result.TIMEOUT && e.failRun == 0;
+        if (c.kept && !c.judged && (died || how == Result.OK)) { stale += LEARN_STALE * ((died ? 1 : 0) - stale); }
+        if (died && stale > MANY_STALE) { staleUntil = now + STALE_MS; }
+        boolean dead = broke || died && stale > MANY_STALE;
         if (!c.judged && !dead) {
             c.judged = true; // a shared call has one fate: count it once
             judge(now, o, c, m);
@@ -320,7 +320,7 @@
             m.doubtZone = e.zone;
         }
         double wait = Math.max(now, e.unit.waitUntil) - now;
-        double next = dead && broke && m.tries == 1 ? 0 : FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++);
+        double next = broke && m.tries == 1 ? 0 : FIRST_PAUSE_MS * Math.pow(PAUSE_GROWTH, m.pauses++);
         double left = m.m.deadlineAt() - now - wait - usual;
         m.notBefore = now + wait + Math.max(0, Math.min(jittered(next), left / 2));
     }
@@ -343,7 +343,6 @@
             }
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
             lost -= LEARN_LOST * lost;
-            if (!c.kept && now - e.deadAt < STALE_SIGN_MS) { staleUntil = now + STALE_MS; }
             e.down = false;
             e.failRun = 0;
             e.okSentAt = Math.max(e.okSentAt, c.sentAt);
