--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -32,6 +32,7 @@
     private static final int SELDOM_DOWN_AFTER = 2;        // failures in a row for it; all add up at a return
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
     private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
+    private static final double STOOD_MS = 1000;           // idle so long, a connection may have been dropped unseen
     private static final double STALE_MS = 30_000;         // no idle connection is used for so long
     private static final double LEARN_STALE = 0.3;         // weight of a call on one that stood idle in their share
     private static final double MANY_STALE = 0.4;          // share that died from which that holds
@@ -92,7 +93,8 @@
         Endpoint e;
         double sentAt;
         int items, open;
-        boolean trial, judged, kept;        // kept: on a connection that stood idle for longer than a call
+        boolean trial, judged;
+        boolean kept, stood;                // on a connection that has carried calls before; idle for long
     }
 
     private record Attempt(Msg m, Call call) { }
@@ -298,8 +300,8 @@
         // time-out does not, but for many such calls that die where none failed before. Failed connects do count.
         double usual = usual(m.dest, m.type);
         boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
-        boolean died = broke || c.kept && how == Result.TIMEOUT && e.failRun == 0;
-        if (c.kept && !c.judged && (died || how == Result.OK)) { stale += LEARN_STALE * ((died ? 1 : 0) - stale); }
+        boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0;
+        if (c.stood && !c.judged && (died || how == Result.OK)) { stale += LEARN_STALE * ((died ? 1 : 0) - stale); }
         if (died && stale > MANY_STALE) { staleUntil = now + STALE_MS; }
         boolean dead = broke || died && stale > MANY_STALE;
         if (!c.judged && !dead) {
@@ -718,7 +720,8 @@
             e.dest.inflight++;
             slotsUsed++;
             if (hasIdle(now, e) && staleUntil > now) { closeIdle(e); }
-            c.kept = hasIdle(now, e) && now - e.idle.removeLast() > usual(m.dest, m.type);
+            c.kept = hasIdle(now, e);
+            c.stood = c.kept && now - e.idle.removeLast() > STOOD_MS;
             refill(now, e.unit);
             e.unit.tokens -= 1;
         }
