--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -302,7 +302,10 @@
         boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
         boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0;
         if (c.stood && !c.judged && (died || how == Result.OK)) { stale += LEARN_STALE * ((died ? 1 : 0) - stale); }
-        if (died && stale > MANY_STALE) { staleUntil = now + STALE_MS; }
+        if (died && stale > MANY_STALE) {
+            if (staleUntil < now) { act.report("idle connections held to be dead after " + how); }
+            staleUntil = now + STALE_MS;
+        }
         boolean dead = broke || died && stale > MANY_STALE;
         if (!c.judged && !dead) {
             c.judged = true; // a shared call has one fate: count it once
