--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -34,7 +34,7 @@
     private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
     private static final double STOOD_MS = 1000;           // idle so long, a connection may have been dropped unseen
     private static final double STALE_MS = 30_000;         // no idle connection is used for so long
-    private static final double LEARN_STALE = 0.3;         // weight of a call on one that stood idle in their share
+    private static final double LEARN_STALE = 0.2;         // weight of a call on one that stood idle in their share
     private static final double MANY_STALE = 0.4;          // share that died from which that holds
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
@@ -296,8 +296,8 @@
             double until = now + o.waitMs() + 1 + random.nextDouble() * SPREAD_MS;
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
-        // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows it; a
-        // time-out does not, but for many such calls that die where none failed before. Failed connects do count.
+        // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows it; of
+        // time-outs only many, where none failed before. Failed connects do count.
         double usual = usual(m.dest, m.type);
         boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
         boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0;
@@ -306,8 +306,7 @@
             if (staleUntil < now) { act.report("idle connections held to be dead after " + how); }
             staleUntil = now + STALE_MS;
         }
-        boolean dead = broke || died && stale > MANY_STALE;
-        if (!c.judged && !dead) {
+        if (!c.judged && !broke) {
             c.judged = true; // a shared call has one fate: count it once
             judge(now, o, c, m);
         }
