An unsafe message that comes again is no longer given up unseen

Symptom: taken() put every message marked as handed in again, or from a dead relay, in doubt, and drop() ends an unsafe one in doubt. Checks: a client comes again only after a refusal, which proves that nothing ran; an unsafe message that may have run is not handed over.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -246,7 +246,7 @@
         m.dest.taken++;
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
         m.notBefore = now;
-        if (message.again() || message.fromDeadRelay()) {
+        if (m.c.effect() != Effect.UNSAFE && (message.again() || message.fromDeadRelay())) {
             m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
         }
         m.pauses = m.tries = message.tried().size();
