Refusals alone mean an outage only after five in a row as well

Symptom: who calls a destination seldom is refused twice 2.5 s apart in any crowd, and then held it to be shut.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -40,7 +40,8 @@
     // Health and return of a destination.
     private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
     private static final int DOWN_AFTER = 3;               // failures in a row that make an endpoint down
-    private static final double FULL_OUTAGE_MS = 2500;     // refusals alone mean an outage after this long
+    private static final double FULL_OUTAGE_MS = 2500;     // refusals alone mean an outage after this long,
+    private static final int FULL_OUTAGE = 5;              // and after so many in a row
     private static final double MUCH_LEFT = 0.9;           // of an allowance: no limit was met
     private static final double SHUT_WAIT_MS = 2500;       // a longer wait means shut, not a limit's span
     private static final double FIRST_TRIAL_MS = 500;      // first pause before a trial of a down endpoint
@@ -111,7 +112,7 @@
         double filledAt = Double.NaN;
         double refusedShare;                // of our recent calls
         double fullSince = Double.NaN;      // first of the refusals with no delivery between
-        int failRun, fulls;                 // failures in a row; refusals in a row that told no wait
+        int failRun, fullRun, fulls;        // failures in a row; refusals in a row; such that told no wait
 
         Unit(Dest dest, Kind kind) {
             this.dest = dest;
@@ -356,6 +357,7 @@
             u.failRun = 0;
             u.fulls = 0;
             u.fullSince = Double.NaN;
+            u.fullRun = 0;
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
@@ -365,7 +367,8 @@
             full(now, o.waitMs(), e);
             boolean room = cfg.limitsTold() && now - u.okAt > SILENT_MS
                     && (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT);
-            boolean shut = c.trial || now - u.fullSince >= FULL_OUTAGE_MS;
+            u.fullRun++;
+            boolean shut = c.trial || now - u.fullSince >= FULL_OUTAGE_MS && u.fullRun >= FULL_OUTAGE;
             if (o.waitMs() >= SHUT_WAIT_MS || (shut || room) && o.waitMs() > 0) {
                 u.endpoints.forEach(x -> coldFrom(u.waitUntil, x));
                 return;
