--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -726,9 +726,10 @@
             e.inflight++;
             e.dest.inflight++;
             slotsUsed++;
-            if (hasIdle(now, e) && staleUntil > now) { closeIdle(e); }
-            c.kept = hasIdle(now, e);
-            c.stood = c.kept && now - e.idle.removeLast() > STOOD_MS;
+            c.stood = hasIdle(now, e) && now - e.idle.peekLast() > STOOD_MS;
+            if (c.stood && staleUntil > now) { closeIdle(e); }
+            c.kept = !e.idle.isEmpty();
+            if (c.kept) { e.idle.removeLast(); }
             refill(now, e.unit);
             e.unit.tokens -= 1;
         }
