--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -54,7 +54,7 @@
     private static final double LEAST_START = 0.01;        // capacity at a return where the rules tell none
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
-    private static final int FEW = 7;                    // a cut pace stays above that of one of so many
+    private static final int FEW = 30;                   // a cut pace stays above that of one of so many
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
     private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
