Where no report tells what is left, a cut pace grows with calls and has a lower floor

Change: refill() grows with our calls, full() leaves one call in 30 s, both only without reports of limits (Settings.limitsTold).

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -54,7 +54,8 @@
     private static final double LEAST_START = 0.01;        // capacity at a return where the rules tell none
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
-    private static final int FEW = 30;                   // a cut pace stays above that of one of so many
+    private static final int FEW = 7;                      // a cut pace stays above that of one of so many
+    private static final int FEW_BLIND = 30;               // or of so many, where no report tells what is left
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
     private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
@@ -429,7 +430,7 @@
         if (now - u.cutAt > CUT_EVERY_MS && !e.down) {
             u.cutAt = now;
             refill(now, u);
-            u.rate = Math.max(LEAST_RATE / Math.min(cfg.group(), FEW), CUT * Math.min(u.rate, part(now, u)));
+            u.rate = Math.max(LEAST_RATE / Math.min(cfg.group(), cfg.limitsTold() ? FEW : FEW_BLIND), CUT * Math.min(u.rate, part(now, u)));
             u.tokens = Math.min(u.tokens, 1);
         }
     }
@@ -448,7 +449,7 @@
         if (Double.isNaN(u.filledAt)) { u.filledAt = now; }
         double dt = now - u.filledAt;
         u.filledAt = now;
-        u.rate += GROW * part(now, u) * Math.min(1, part(now, u)) * dt / 1000; // FOREVER stays so
+        u.rate += GROW * part(now, u) * (cfg.limitsTold() ? 1 : Math.min(1, part(now, u))) * dt / 1000; // FOREVER stays so
         if (u.limit > 0) {
             // Where calls can be shared and many are refused our part will do: what waits goes together.
             boolean shares = u.refusedShare > MANY_REFUSED && u.kind.bundleMax() > 1;
