--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -430,7 +430,7 @@
         if (now - u.cutAt > CUT_EVERY_MS && !e.down) {
             u.cutAt = now;
             refill(now, u);
-            u.rate = Math.max(LEAST_RATE / Math.min(cfg.group(), cfg.limitsTold() ? FEW : FEW_BLIND), CUT * Math.min(u.rate, part(now, u)));
+            u.rate = Math.max(floor(), CUT * Math.min(u.rate, part(now, u)));
             u.tokens = Math.min(u.tokens, 1);
         }
     }
@@ -445,15 +445,20 @@
         return weight / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
     }
 
+    /** The least pace, calls a second. */
+    private double floor() { return LEAST_RATE / Math.min(cfg.group(), cfg.limitsTold() ? FEW : FEW_BLIND); }
+
     private void refill(double now, Unit u) {
         if (Double.isNaN(u.filledAt)) { u.filledAt = now; }
         double dt = now - u.filledAt;
         u.filledAt = now;
         u.rate += GROW * part(now, u) * (cfg.limitsTold() ? 1 : Math.min(1, part(now, u))) * dt / 1000; // FOREVER stays so
-        if (u.limit > 0) {
-            // Where calls can be shared and many are refused our part will do: what waits goes together.
-            boolean shares = u.refusedShare > MANY_REFUSED && u.kind.bundleMax() > 1;
-            u.rate = Math.min(u.rate, shares ? SHARED_PART * u.limit / cfg.group() : u.limit);
+        double limit = cfg.limitsTold() ? u.limit : known(u);
+        if (limit > 0) {
+            // Where calls can be shared and many are refused our part will do: what waits goes together. And
+            // where no report tells what is left: refusals use up what all could have.
+            boolean even = u.refusedShare >= MANY_REFUSED && (u.kind.bundleMax() > 1 || !cfg.limitsTold());
+            u.rate = Math.min(u.rate, even ? Math.max(SHARED_PART * limit / cfg.group(), floor()) : limit);
         }
         u.tokens = u.rate == FOREVER ? 1
                 : Math.min(Math.max(1, u.rate * BURST_MS / 1000), u.tokens + u.rate * dt / 1000);
