--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -70,7 +70,7 @@
     // Choice among waiting messages.
     private static final double FAILED_COST = 0.2;         // cost of an endpoint for each failure in a row
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
-    private static final double BASE_WORTH = 1;            // weight of worth that waiting does not lose
+    private static final double BASE_WORTH = 0.3;          // weight of worth that waiting does not lose
     private static final double ROOM = 0.06;               // share of the open messages kept free
     private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
