--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -70,7 +70,8 @@
     // Choice among waiting messages.
     private static final double FAILED_COST = 0.2;         // cost of an endpoint for each failure in a row
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
-    private static final double BASE_WORTH = 0.3;          // weight of worth that waiting does not lose
+    private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
+    private static final double CROWD_WORTH = 1;           // the same where not all that waits can go
     private static final double ROOM = 0.06;               // share of the open messages kept free
     private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
@@ -445,6 +446,9 @@
         return weight / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
     }
 
+    /** Whether relays are many for it: refusals, which use up what all could have, are the only sign of that. */
+    private boolean crowded(Unit u) { return !cfg.limitsTold() && u.refusedShare >= MANY_REFUSED; }
+
     /** The least pace, calls a second. */
     private double floor() { return LEAST_RATE / Math.min(cfg.group(), cfg.limitsTold() ? FEW : FEW_BLIND); }
 
@@ -457,7 +461,7 @@
         if (limit > 0) {
             // Where calls can be shared and many are refused our part will do: what waits goes together. And
             // where no report tells what is left: refusals use up what all could have.
-            boolean even = u.refusedShare >= MANY_REFUSED && (u.kind.bundleMax() > 1 || !cfg.limitsTold());
+            boolean even = u.refusedShare >= MANY_REFUSED && u.kind.bundleMax() > 1 || crowded(u);
             u.rate = Math.min(u.rate, even ? Math.max(SHARED_PART * limit / cfg.group(), floor()) : limit);
         }
         u.tokens = u.rate == FOREVER ? 1
@@ -617,10 +621,14 @@
     /** Worth lost by waiting, for each moment of slot time; a little for worth that waiting does not lose. */
     private double rank(double now, Msg m) {
         double slow = m.dest.active.isEmpty() ? 1 : FOREVER;
-        for (Endpoint e : m.dest.active) { slow = Math.min(slow, e.slowness); }
+        boolean crowded = false;
+        for (Endpoint e : m.dest.active) {
+            slow = Math.min(slow, e.slowness);
+            crowded |= crowded(e.unit);
+        }
         double d = usual(m.dest, m.type) * Math.max(1, slow);
         double soon = worth(m, now + d);
-        return (soon - worth(m, now + d + LOOKAHEAD_MS) + BASE_WORTH * soon) / d;
+        return (soon - worth(m, now + d + LOOKAHEAD_MS) + (crowded ? CROWD_WORTH : BASE_WORTH) * soon) / d;
     }
 
     // ---- sending ----
