--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -55,10 +55,10 @@
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final int FEW = 7;                      // a cut pace stays above that of one of so many
-    private static final int FEW_BLIND = 30;               // or of so many, where no report tells what is left
+    private static final int FEW_BLIND = 8;                // or of so many, where no report tells what is left
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
-    private static final double SHARED_PART = 0.65;        // of our part of a limit where calls can be shared
+    private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
     private static final double MANY_REFUSED = 0.1;        // share of refused calls from which that holds
     private static final double BURST_MS = 400;            // so much of the rate may go at once
     private static final double UNTOLD_WAIT_MS = 500;      // own pause where a refusal tells no wait
@@ -447,7 +447,7 @@
     }
 
     /** Whether relays are many for it: refusals, which use up what all could have, are the only sign of that. */
-    private boolean crowded(Unit u) { return !cfg.limitsTold() && u.refusedShare >= MANY_REFUSED / 2; }
+    private boolean crowded(Unit u) { return !cfg.limitsTold() && u.refusedShare >= MANY_REFUSED; }
 
     /** The least pace, calls a second. */
     private double floor() { return LEAST_RATE / Math.min(cfg.group(), cfg.limitsTold() ? FEW : FEW_BLIND); }
