--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -55,7 +55,7 @@
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final int FEW = 7;                      // a cut pace stays above that of one of so many
-    private static final int FEW_BLIND = 8;                // or of so many, where no report tells what is left
+    private static final double LEAST_OF_ALL = 7;          // calls a second of all, where no report tells a limit
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
     private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
@@ -450,7 +450,9 @@
     private boolean crowded(Unit u) { return !cfg.limitsTold() && u.refusedShare >= MANY_REFUSED; }
 
     /** The least pace, calls a second. */
-    private double floor() { return LEAST_RATE / Math.min(cfg.group(), cfg.limitsTold() ? FEW : FEW_BLIND); }
+    private double floor() {
+        return cfg.limitsTold() ? LEAST_RATE / Math.min(cfg.group(), FEW) : LEAST_OF_ALL / cfg.group();
+    }
 
     private void refill(double now, Unit u) {
         if (Double.isNaN(u.filledAt)) { u.filledAt = now; }
