--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -367,10 +367,10 @@
         if (gone && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
         if (o.result() == Result.FULL) {
             full(now, o.waitMs(), e);
-            boolean room = cfg.limitsTold() && now - u.okAt > SILENT_MS
-                    && (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT);
+            boolean room = cfg.limitsTold() && (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT);
             u.fullRun++;
-            boolean shut = c.trial || now - u.fullSince >= FULL_OUTAGE_MS && u.fullRun >= FULL_OUTAGE;
+            boolean shut = c.trial || now - u.fullSince >= FULL_OUTAGE_MS && (room || u.fullRun >= FULL_OUTAGE);
+            room &= now - u.okAt > SILENT_MS;
             if (o.waitMs() >= SHUT_WAIT_MS || (shut || room) && o.waitMs() > 0) {
                 u.endpoints.forEach(x -> coldFrom(u.waitUntil, x));
                 return;
