--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -41,7 +41,7 @@
     private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
     private static final int DOWN_AFTER = 3;               // failures in a row that make an endpoint down
     private static final double FULL_OUTAGE_MS = 2500;     // refusals alone mean an outage after this long,
-    private static final int FULL_OUTAGE = 5;              // and after so many in a row
+    private static final int FULL_OUTAGE = 5;              // and so many in a row where no report tells limits
     private static final double MUCH_LEFT = 0.9;           // of an allowance: no limit was met
     private static final double SHUT_WAIT_MS = 2500;       // a longer wait means shut, not a limit's span
     private static final double FIRST_TRIAL_MS = 500;      // first pause before a trial of a down endpoint
@@ -367,10 +367,10 @@
         if (gone && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
         if (o.result() == Result.FULL) {
             full(now, o.waitMs(), e);
-            boolean room = cfg.limitsTold() && (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT);
-            u.fullRun++;
-            boolean shut = c.trial || now - u.fullSince >= FULL_OUTAGE_MS && (room || u.fullRun >= FULL_OUTAGE);
-            room &= now - u.okAt > SILENT_MS;
+            boolean room = cfg.limitsTold() && now - u.okAt > SILENT_MS
+                    && (u.limit == 0 || o.load().allowanceLeft() > MUCH_LEFT);
+            boolean many = cfg.limitsTold() || ++u.fullRun >= FULL_OUTAGE;
+            boolean shut = c.trial || many && now - u.fullSince >= FULL_OUTAGE_MS;
             if (o.waitMs() >= SHUT_WAIT_MS || (shut || room) && o.waitMs() > 0) {
                 u.endpoints.forEach(x -> coldFrom(u.waitUntil, x));
                 return;
