A cut pace has no floor above twice our even part of a known limit: fail-back kept

Ruled out: the sign of an outage after five refusals (undone, still broken). Cause: one call in seven seconds for each of 525 relays is 75 a second, four times what it takes.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -55,6 +55,7 @@
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final int FEW = 7;                      // a cut pace stays above that of one of so many
+    private static final double MOST_PARTS = 2;            // but not above so many times our part of a known limit
     private static final double LEAST_OF_ALL = 7;          // calls a second of all, where no report tells a limit
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
@@ -431,7 +432,7 @@
         if (now - u.cutAt > CUT_EVERY_MS && !e.down) {
             u.cutAt = now;
             refill(now, u);
-            u.rate = Math.max(floor(), CUT * Math.min(u.rate, part(now, u)));
+            u.rate = Math.max(floor(u), CUT * Math.min(u.rate, part(now, u)));
             u.tokens = Math.min(u.tokens, 1);
         }
     }
@@ -449,9 +450,11 @@
     /** Whether relays are many for it: refusals, which use up what all could have, are the only sign of that. */
     private boolean crowded(Unit u) { return !cfg.limitsTold() && u.refusedShare >= MANY_REFUSED; }
 
-    /** The least pace, calls a second. */
-    private double floor() {
-        return cfg.limitsTold() ? LEAST_RATE / Math.min(cfg.group(), FEW) : LEAST_OF_ALL / cfg.group();
+    /** The least pace, calls a second. Of many relays all together would still be more than the unit takes. */
+    private double floor(Unit u) {
+        if (!cfg.limitsTold()) { return LEAST_OF_ALL / cfg.group(); }
+        double least = LEAST_RATE / Math.min(cfg.group(), FEW);
+        return known(u) > 0 ? Math.min(least, MOST_PARTS * known(u) / cfg.group()) : least;
     }
 
     private void refill(double now, Unit u) {
@@ -464,7 +467,7 @@
             // Where calls can be shared and many are refused our part will do: what waits goes together. And
             // where no report tells what is left: refusals use up what all could have.
             boolean even = u.refusedShare >= MANY_REFUSED && u.kind.bundleMax() > 1 || crowded(u);
-            u.rate = Math.min(u.rate, even ? Math.max(SHARED_PART * limit / cfg.group(), floor()) : limit);
+            u.rate = Math.min(u.rate, even ? Math.max(SHARED_PART * limit / cfg.group(), floor(u)) : limit);
         }
         u.tokens = u.rate == FOREVER ? 1
                 : Math.min(Math.max(1, u.rate * BURST_MS / 1000), u.tokens + u.rate * dt / 1000);
