Parts of a cold budget shrink where more is handed in than a destination takes

Cause: coldRate() takes our part by what we are handed, up to the whole limit; with 80 to 180 messages a second for a limit of 29 the parts of all relays add up to several times the budget. Change: where our own count shows (two deviations below it) that all are handed more than it takes, the part shrinks by as much.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -485,7 +485,10 @@
     private double coldRate(double now, Unit u, double since) {
         double s = Math.max(LEAST_START, cfg.rules().startCapacity());
         double share = Math.min(1, s + (1 - s) * since / Math.max(1, cfg.rules().warmAfterMs()));
-        return Math.max(1, cfg.rules().fallMultiple()) * share * part(now, u);
+        // Where we alone see that all are handed more than it takes, our parts would add up to more as well.
+        double sure = (u.dest.taken - 2 * Math.sqrt(u.dest.taken)) * 1000 / Math.max(DEMAND_SPAN_MS, now - startedAt);
+        double over = known(u) > 0 ? Math.max(1, cfg.group() * sure / known(u)) : 1;
+        return Math.max(1, cfg.rules().fallMultiple()) * share * part(now, u) / over;
     }
 
     private double usual(Dest d, int messageClass) {
