--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -769,7 +769,7 @@
 
     private double timeout(double now, Msg m, Endpoint e, Call c) {
         double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (c.items - 1));
-        double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
+        double patience = Math.max(LEAST_TIMEOUT_MS * (part(now, e.unit) < SELDOM ? 2 : 1), TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
                 * Math.pow(PAUSE_GROWTH, Math.min(m.pauses, e.failRun));
         // Answers get lost everywhere: waiting for them only fills the slots. Also against our own network if
         // it drops calls. Where an endpoint is slow or fails in a row its time-out stays long.
