--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -387,7 +387,7 @@
         u.failRun++;
         if (e.cold()) { e.coldSince = FOREVER; }
         boolean seldom = part(now, u) < SELDOM && crowdedUntil[e.kindNo] < FOREVER;
-        int downAfter = lost > MANY_LOST ? DOWN_AFTER_LOST : seldom ? SELDOM_DOWN_AFTER : DOWN_AFTER;
+        int downAfter = seldom && o.result() == Result.CONNECT_FAILED ? 1 : lost > MANY_LOST ? DOWN_AFTER_LOST : seldom ? SELDOM_DOWN_AFTER : DOWN_AFTER;
         boolean unitFails = u.failRun >= downAfter && now - u.okAt > SILENT_MS;
         if (!e.down && (e.failRun >= downAfter || unitFails)) {
             act.report("endpoint " + e.name + " held to be sick after " + o.result());
@@ -452,7 +452,7 @@
 
     /** The least pace, calls a second. Of many relays all together would still be more than the unit takes. */
     private double floor(Unit u) {
-        if (!cfg.limitsTold()) { return Math.min(LEAST_OF_ALL, known(u)) / cfg.group(); }
+        if (!cfg.limitsTold()) { return LEAST_OF_ALL / cfg.group(); }
         double least = LEAST_RATE / Math.min(cfg.group(), FEW);
         return known(u) > 0 ? Math.min(least, MOST_PARTS * known(u) / cfg.group()) : least;
     }
