--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -387,7 +387,7 @@
         u.failRun++;
         if (e.cold()) { e.coldSince = FOREVER; }
         boolean seldom = part(now, u) < SELDOM && crowdedUntil[e.kindNo] < FOREVER;
-        int downAfter = seldom && o.result() == Result.CONNECT_FAILED ? 1 : lost > MANY_LOST ? DOWN_AFTER_LOST : seldom ? SELDOM_DOWN_AFTER : DOWN_AFTER;
+        int downAfter = lost > MANY_LOST ? DOWN_AFTER_LOST : seldom ? SELDOM_DOWN_AFTER : DOWN_AFTER;
         boolean unitFails = u.failRun >= downAfter && now - u.okAt > SILENT_MS;
         if (!e.down && (e.failRun >= downAfter || unitFails)) {
             act.report("endpoint " + e.name + " held to be sick after " + o.result());
