--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -34,7 +34,7 @@
     private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
     private static final double STOOD_MS = 1000;           // idle so long, a connection may have been dropped unseen
     private static final double STALE_MS = 30_000;         // no idle connection is used for so long
-    private static final double LEARN_STALE = 0.4;         // weight of a call on one that stood idle in their share
+    private static final double LEARN_STALE = 0.2;         // weight of a call on one that stood idle in their share
     private static final double MANY_STALE = 0.4;          // share that died from which that holds
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
@@ -749,7 +749,9 @@
             e.dest.inflight++;
             slotsUsed++;
             c.stood = hasIdle(now, e) && now - e.idle.peekLast() > STOOD_MS;
-            if (c.stood && staleUntil > now) { closeIdle(e); }
+            // What must not be repeated would be lost: for it a recent sign is enough.
+            boolean sign = m.c.effect() == Effect.UNSAFE && stale > LEARN_STALE / 2;
+            if (c.stood && (staleUntil > now || sign)) { closeIdle(e); }
             c.kept = !e.idle.isEmpty();
             if (c.kept) { e.idle.removeLast(); }
             refill(now, e.unit);
