--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -171,7 +171,7 @@
     private final double[] crowdedUntil; // for each kind: until then idle connections are closed
     private final Set<Endpoint> unused = new LinkedHashSet<>(); // gave us an answer in this round
     private double staleUntil = NEVER; // until then idle connections are held to be dead
-    private double stale = LEARN_STALE;             // recent share of calls on connections that stood idle and were dead
+    private double stale;             // recent share of calls on connections that stood idle and were dead
     private double lost;              // recent share of time-outs at endpoints that did not fail before
     private int slotsUsed;
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
