What the pace lets go only after its time is handed back at once

Symptom: with a pace of one call in 36 s a message was kept to its deadline though nothing could be sent for it any more. Change: drop() counts the pace like a told wait; the time to come back is told. Kept: holding what cannot be sent is not wanted.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -568,7 +568,7 @@
             }
         }
         double opens = m.dest.active.isEmpty() ? now : FOREVER;
-        for (Endpoint e : m.dest.active) { opens = Math.min(opens, e.unit.waitUntil); }
+        for (Endpoint e : m.dest.active) { opens = Math.min(opens, Math.max(e.unit.waitUntil, paced(now, e.unit))); }
         double soonest = Math.max(now, opens);
         if (!spent && soonest <= last) {
             wake(last + 1);
@@ -578,6 +578,12 @@
         return true;
     }
 
+    /** When the pace lets the next call go. */
+    private double paced(double now, Unit u) {
+        refill(now, u);
+        return u.tokens >= 1 ? now : now + (1 - u.tokens) / u.rate * 1000;
+    }
+
     /** Final answer: refused only if no attempt can have run, given up otherwise. */
     private void answer(Msg m, double comeBackMs) {
         double after = cfg.limits().retryAfter() ? Math.min(comeBackMs, cfg.limits().maxRetryAfterMs()) : 0;
