--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -568,7 +568,7 @@
             }
         }
         double opens = m.dest.active.isEmpty() ? now : FOREVER;
-        for (Endpoint e : m.dest.active) { opens = Math.min(opens, Math.max(e.unit.waitUntil, paced(now, e.unit))); }
+        for (Endpoint e : m.dest.active) { opens = Math.min(opens, Math.max(e.unit.waitUntil, paced(now, e))); }
         double soonest = Math.max(now, opens);
         if (!spent && soonest <= last) {
             wake(last + 1);
@@ -578,10 +578,11 @@
         return true;
     }
 
-    /** When the pace lets the next call go. */
-    private double paced(double now, Unit u) {
-        refill(now, u);
-        return u.tokens >= 1 ? now : now + (1 - u.tokens) / u.rate * 1000;
+    /** When the next trial is due, or the pace lets the next call go. */
+    private double paced(double now, Endpoint e) {
+        if (e.down) { return e.trialAt; }
+        refill(now, e.unit);
+        return e.unit.tokens >= 1 ? now : now + (1 - e.unit.tokens) / e.unit.rate * 1000;
     }
 
     /** Final answer: refused only if no attempt can have run, given up otherwise. */
