--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -56,7 +56,7 @@
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final int FEW = 7;                      // a cut pace stays above that of one of so many
     private static final double MOST_PARTS = 2;            // but not above so many times our part of a known limit
-    private static final double LEAST_OF_ALL = 25;         // calls a second of all, where no report tells a limit
+    private static final double LEAST_OF_ALL = 4;         // calls a second of all, where no report tells a limit
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
     private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
