--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -452,7 +452,7 @@
 
     /** The least pace, calls a second. Of many relays all together would still be more than the unit takes. */
     private double floor(Unit u) {
-        if (!cfg.limitsTold()) { return LEAST_OF_ALL / cfg.group(); }
+        if (!cfg.limitsTold()) { return SHARED_PART * Math.max(LEAST_RATE, known(u)) / cfg.group(); }
         double least = LEAST_RATE / Math.min(cfg.group(), FEW);
         return known(u) > 0 ? Math.min(least, MOST_PARTS * known(u) / cfg.group()) : least;
     }
