--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -32,16 +32,16 @@
     private static final int SELDOM_DOWN_AFTER = 2;        // failures in a row for it; all add up at a return
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
     private static final double DEAD = 0.1;                // part of a usual call: broken sooner is dead
-    private static final double STOOD_MS = 1000;           // idle so long, a connection may have been dropped unseen
+    private static final double STOOD_MS = 1000;           // idle so long, it may have been dropped unseen
     private static final double STALE_MS = 30_000;         // no idle connection is used for so long
-    private static final double LEARN_STALE = 0.2;         // weight of a call on one that stood idle in their share
+    private static final double LEARN_STALE = 0.2;         // weight of a call on such a one in their share
     private static final double MANY_STALE = 0.4;          // share that died from which that holds
     private static final double SLOW = 3;                  // so many times slower than usual is slow
     // Health and return of a destination.
     private static final int DOWN_AFTER_LOST = 5;          // the same while calls get lost everywhere
     private static final int DOWN_AFTER = 3;               // failures in a row that make an endpoint down
     private static final double FULL_OUTAGE_MS = 2500;     // refusals alone mean an outage after this long,
-    private static final int FULL_OUTAGE = 5;              // and so many in a row where no report tells limits
+    private static final int FULL_OUTAGE = 5;              // and so many in a row where no report tells
     private static final double MUCH_LEFT = 0.9;           // of an allowance: no limit was met
     private static final double SHUT_WAIT_MS = 2500;       // a longer wait means shut, not a limit's span
     private static final double FIRST_TRIAL_MS = 500;      // first pause before a trial of a down endpoint
@@ -55,8 +55,8 @@
     // Pacing at limits.
     private static final double CUT = 0.8;                 // rate kept after a refusal above a limit
     private static final int FEW = 7;                      // a cut pace stays above that of one of so many
-    private static final double MOST_PARTS = 2;            // but not above so many times our part of a known limit
-    private static final double LEAST_OF_ALL = 4;         // calls a second of all, where no report tells a limit
+    private static final double MOST_PARTS = 2;            // but not above so many times our even part
+    private static final double LEAST_OF_ALL = 4;          // calls a second of all, where no report tells
     private static final double CUT_EVERY_MS = 500;        // refusals closer than this are one event
     private static final double GROW = 0.15;               // growth a second, in parts of our share
     private static final double SHARED_PART = 0.8;         // of our part of a limit where calls can be shared
@@ -65,7 +65,7 @@
     private static final double UNTOLD_WAIT_MS = 500;      // own pause where a refusal tells no wait
     private static final double LONE_GROWTH = 4;           // of pauses up to the time of one call of our part
     private static final double SPREAD_MS = 50;            // relays told the same wait come back within it
-    private static final double MOST_SPREAD_MS = 1000;     // or within one call of our part, but no longer than this
+    private static final double MOST_SPREAD_MS = 1000;     // or within one call of our part, at most this
     private static final double CROWD_MS = 2500;           // a failed connect and an answer so close: crowded
     private static final double CROWDED_MS = 5000;         // a lone failed connect closes idle ones so long
     // Choice among waiting messages.
@@ -302,12 +302,14 @@
             double until = now + o.waitMs() + 1 + random.nextDouble() * spread;
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
-        // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows it; of
-        // time-outs only many, where none failed before. Failed connects do count.
+        // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows
+        // it; of time-outs only many, where none failed before. Failed connects do count.
         double usual = usual(m.dest, m.type);
         boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
         boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0;
-        if (c.stood && !c.judged && (died || how == Result.OK)) { stale += LEARN_STALE * ((died ? 1 : 0) - stale); }
+        if (c.stood && !c.judged && (died || how == Result.OK)) {
+            stale += LEARN_STALE * ((died ? 1 : 0) - stale);
+        }
         if (died && stale > MANY_STALE) {
             if (staleUntil < now) { act.report("idle connections held to be dead after " + how); }
             staleUntil = now + STALE_MS;
@@ -447,12 +449,12 @@
         return weight / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
     }
 
-    /** Whether relays are many for it: refusals, which use up what all could have, are the only sign of that. */
+    /** Whether relays are many for it: refusals, which use up what all could have, are the only sign. */
     private boolean crowded(Unit u) { return !cfg.limitsTold() && u.refusedShare >= MANY_REFUSED; }
 
-    /** The least pace, calls a second. Of many relays all together would still be more than the unit takes. */
+    /** The least pace, calls a second: that of many relays together is more than the unit takes. */
     private double floor(Unit u) {
-        if (!cfg.limitsTold()) { return SHARED_PART * Math.max(LEAST_RATE, known(u)) / cfg.group(); }
+        if (!cfg.limitsTold()) { return LEAST_OF_ALL / cfg.group(); }
         double least = LEAST_RATE / Math.min(cfg.group(), FEW);
         return known(u) > 0 ? Math.min(least, MOST_PARTS * known(u) / cfg.group()) : least;
     }
@@ -461,7 +463,8 @@
         if (Double.isNaN(u.filledAt)) { u.filledAt = now; }
         double dt = now - u.filledAt;
         u.filledAt = now;
-        u.rate += GROW * part(now, u) * (cfg.limitsTold() ? 1 : Math.min(1, part(now, u))) * dt / 1000; // FOREVER stays so
+        double part = part(now, u); // unseen refusals come with calls: it grows with them where they are few
+        u.rate += GROW * part * (cfg.limitsTold() ? 1 : Math.min(1, part)) * dt / 1000; // FOREVER stays so
         double limit = cfg.limitsTold() ? u.limit : known(u);
         if (limit > 0) {
             // Where calls can be shared and many are refused our part will do: what waits goes together. And
@@ -486,7 +489,8 @@
         double s = Math.max(LEAST_START, cfg.rules().startCapacity());
         double share = Math.min(1, s + (1 - s) * since / Math.max(1, cfg.rules().warmAfterMs()));
         // Where we alone see that all are handed more than it takes, our parts would add up to more as well.
-        double sure = (u.dest.taken - 2 * Math.sqrt(u.dest.taken)) * 1000 / Math.max(DEMAND_SPAN_MS, now - startedAt);
+        double seen = u.dest.taken - 2 * Math.sqrt(u.dest.taken);
+        double sure = 1000 * seen / Math.max(DEMAND_SPAN_MS, now - startedAt);
         double over = known(u) > 0 ? Math.max(1, cfg.group() * sure / known(u)) : 1;
         return Math.max(1, cfg.rules().fallMultiple()) * share * part(now, u) / over;
     }
@@ -568,7 +572,9 @@
             }
         }
         double opens = m.dest.active.isEmpty() ? now : FOREVER;
-        for (Endpoint e : m.dest.active) { opens = Math.min(opens, Math.max(e.unit.waitUntil, paced(now, e))); }
+        for (Endpoint e : m.dest.active) {
+            opens = Math.min(opens, Math.max(e.unit.waitUntil, paced(now, e)));
+        }
         double soonest = Math.max(now, opens);
         if (!spent && soonest <= last) {
             wake(last + 1);
--- a/src/main/java/firstair/settings/Facts.java
+++ b/src/main/java/firstair/settings/Facts.java
@@ -30,9 +30,13 @@
                 classes(s), kinds(s), limits(s), rules(s));
     }
 
+    /** Without the keys answers are taken to tell limits. Reports in probes alone tell nothing: nobody probes. */
     private static boolean limitsTold(Fields s) {
-        return !s.text("loadReport.how", "answers").equals("none")
-                && List.of(s.text("loadReport.names", "x1").split(",")).contains("x1");
+        String how = s.text("loadReport.how", "answers");
+        if (!List.of("answers", "probe", "none").contains(how)) {
+            throw s.bad("loadReport.how", "neither answers nor probe nor none: " + how);
+        }
+        return how.equals("answers") && List.of(s.text("loadReport.names", "x1").split(",")).contains("x1");
     }
 
     private static List<MessageClass> classes(Fields s) {
