--- a/src/main/java/firstair/cli/ConfigCommand.java
+++ b/src/main/java/firstair/cli/ConfigCommand.java
@@ -16,7 +16,7 @@
 
 /** Looks at a configuration without serving by it. */
 @Command(name = "config", mixinStandardHelpOptions = true, description = "Checks or shows a relay's configuration.",
-        synopsisSubcommandLabel = "COMMAND")
+        synopsisSubcommandLabel = "COMMAND", subcommands = MigrateCommand.class)
 public final class ConfigCommand implements Part {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/firstair/cli/MigrateCommand.java
@@ -0,0 +1,107 @@
+package firstair.cli;
+
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonParser;
+import firstair.relay.Config;
+import firstair.relay.ConfigException;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Writes the counterpart of an old configuration for a deployment of another shape. */
+@Command(name = "migrate", mixinStandardHelpOptions = true, description = {
+    "Reads a configuration of the old shape and writes its counterpart for the new one.",
+    "Lists what it wrote and what it could not carry over. docs/migration.md has the steps of a move."})
+final class MigrateCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "OLD", description = "the configuration to read, JSON; it is never written to")
+    private Path old;
+
+    @Option(names = "--out", paramLabel = "FILE", description = "where to write; as a whole or not at all")
+    private Path out;
+
+    @Option(names = "--force", description = "write over a file that is there, but never over OLD")
+    private boolean force;
+
+    @Option(names = "--dry-run", description = "write nothing; print what would be written, and the list")
+    private boolean dryRun;
+
+    @Option(names = "--reports", paramLabel = "HOW",
+            description = "how endpoints report load there: answers, probe, none")
+    private String reports;
+
+    @Option(names = "--weights", paramLabel = "KIND", description = "what weights hold there: none, rough, nominal")
+    private String weights;
+
+    @Option(names = "--drain-grace", paramLabel = "MS",
+            description = "time for the last new call to an endpoint that drains")
+    private Double drainGrace;
+
+    @Override
+    public Integer call() throws IOException {
+        if (out == null && !dryRun) {
+            throw new ConfigException("--out", "missing; --dry-run writes nothing");
+        }
+        if (drainGrace != null && !(drainGrace >= 0 && drainGrace < Double.POSITIVE_INFINITY)) {
+            throw new ConfigException("--drain-grace", "not a time from 0 on: " + drainGrace);
+        }
+        Map<String, String> env = new HashMap<>(Map.of("ROUTER_STATE", ".", "ROUTER_LISTEN", "127.0.0.1:0",
+                "ROUTER_DISCOVERY", "127.0.0.1:1"));
+        env.putAll(System.getenv());
+        env.put("ROUTER_CONFIG", old.toString());
+        String text = Config.text(env);
+        Config.parse(text, env); // a file that no relay could use is told as serve would
+        Migration m = new Migration(JsonParser.parseString(text).getAsJsonObject(),
+                new Migration.Shape(reports, weights, drainGrace));
+        String migrated = new GsonBuilder().setPrettyPrinting().disableHtmlEscaping().serializeNulls().create()
+                .toJson(m.migrated()) + "\n";
+        Config.parse(migrated, env);
+        PrintWriter tell = spec.commandLine().getOut();
+        if (dryRun) {
+            tell.print(migrated);
+        } else {
+            write(migrated);
+        }
+        m.changes().forEach(l -> tell.println("# written: " + l));
+        m.open().forEach(l -> tell.println("# not carried over: " + l));
+        tell.flush();
+        return 0;
+    }
+
+    /** A reader sees the old file of that name or the new one; what fails leaves nothing behind. */
+    private void write(String text) throws IOException {
+        if (Files.exists(out)) {
+            if (Files.isSameFile(out, old)) {
+                throw new ConfigException("--out", "is the file that is read: " + out);
+            }
+            if (!force || Files.isDirectory(out)) {
+                throw new ConfigException("--out", "is there already" + (force ? ": " : ", without --force: ") + out);
+            }
+        }
+        Path folder = out.toAbsolutePath().getParent();
+        Path draft = null;
+        try {
+            draft = Files.createTempFile(folder, ".migrate", ".json");
+            Files.writeString(draft, text);
+            Files.move(draft, out, StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException e) {
+            throw new ConfigException("--out", "cannot be written: " + e);
+        } finally {
+            if (draft != null) {
+                Files.deleteIfExists(draft);
+            }
+        }
+    }
+}
--- a/src/main/java/firstair/relay/Config.java
+++ b/src/main/java/firstair/relay/Config.java
@@ -34,19 +34,31 @@
 
     /** Reads the file that {@code ROUTER_CONFIG} names; other variables stand in for what it lacks. */
     public static Config read(Map<String, String> env) {
+        return parse(text(env), env);
+    }
+
+    /** The text of the file that {@code ROUTER_CONFIG} names. */
+    public static String text(Map<String, String> env) {
         String file = env.get("ROUTER_CONFIG");
         if (file == null || file.isEmpty()) {
             throw new ConfigException("ROUTER_CONFIG", "missing from the environment");
         }
+        try {
+            return Files.readString(Path.of(file));
+        } catch (IOException | InvalidPathException e) {
+            throw new ConfigException("ROUTER_CONFIG", "cannot be read: " + e);
+        }
+    }
+
+    /** Reads a configuration from its text; variables stand in for what it lacks. */
+    public static Config parse(String text, Map<String, String> env) {
         JsonObject root;
         try {
-            JsonElement parsed = JsonParser.parseString(Files.readString(Path.of(file)));
+            JsonElement parsed = JsonParser.parseString(text);
             if (!parsed.isJsonObject()) {
                 throw new ConfigException("ROUTER_CONFIG", "not a JSON object");
             }
             root = parsed.getAsJsonObject();
-        } catch (IOException | InvalidPathException e) {
-            throw new ConfigException("ROUTER_CONFIG", "cannot be read: " + e);
         } catch (JsonParseException e) {
             throw new ConfigException("ROUTER_CONFIG", "not JSON: " + e.getMessage().replaceAll("\\s+", " "));
         }
--- a/src/test/java/firstair/cli/CliTest.java
+++ b/src/test/java/firstair/cli/CliTest.java
@@ -33,7 +33,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "serve", "simhost", "config", "config check", "config show", "soak"})
+    @ValueSource(strings = {"", "serve", "simhost", "config", "config check", "config show", "config migrate", "soak"})
     void everyCommandHasHelp(String command) {
         assertThat(Cli.run((command + " --help").trim().split(" "))).isZero();
         assertThat(told.toString(StandardCharsets.UTF_8)).contains("Usage: firstair").contains(command);
