--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -50,6 +50,7 @@
     private static final double ROUGH_OFF = 1.5;           // a rough weight may be so many times too high
     private static final double LEAST_RATE = 1;            // calls a second to all where nothing is known
     private static final double DEMAND_SPAN_MS = 10_000;   // least time over which our own demand is averaged
+    private static final double EVEN_SIGNS = 2;            // messages that an even demand counts for in it
     private static final double EARLY_TRIAL_MS = 8000;     // first trial where our part takes longer
     private static final double LEAST_START = 0.01;        // capacity at a return where the rules tell none
     // Pacing at limits.
@@ -488,10 +489,10 @@
     private double coldRate(double now, Unit u, double since) {
         double s = Math.max(LEAST_START, cfg.rules().startCapacity());
         double share = Math.min(1, s + (1 - s) * since / Math.max(1, cfg.rules().warmAfterMs()));
-        // Where we alone see that all are handed more than it takes, our parts would add up to more as well.
-        double seen = u.dest.taken - 2 * Math.sqrt(u.dest.taken);
-        double sure = 1000 * seen / Math.max(DEMAND_SPAN_MS, now - startedAt);
-        double over = known(u) > 0 ? Math.max(1, cfg.group() * sure / known(u)) : 1;
+        // Where all are handed more than it takes, our parts would add up to more as well. Few messages tell
+        // little of that: an even part of the limit counts for some more.
+        double even = known(u) / cfg.group() * Math.max(DEMAND_SPAN_MS, now - startedAt) / 1000;
+        double over = even > 0 ? Math.max(1, (u.dest.taken + EVEN_SIGNS) / (even + EVEN_SIGNS)) : 1;
         return Math.max(1, cfg.rules().fallMultiple()) * share * part(now, u) / over;
     }
 
