--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -307,7 +307,7 @@
         // it; of time-outs only many, where none failed before. Failed connects do count.
         double usual = usual(m.dest, m.type);
         boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
-        boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0;
+        boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0 && e.slowness < LIVELY;
         if (c.stood && !c.judged && (died || how == Result.OK)) {
             stale += LEARN_STALE * ((died ? 1 : 0) - stale);
         }
