--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -66,7 +66,7 @@
     private static final double UNTOLD_WAIT_MS = 500;      // own pause where a refusal tells no wait
     private static final double LONE_GROWTH = 4;           // of pauses up to the time of one call of our part
     private static final double SPREAD_MS = 50;            // relays told the same wait come back within it
-    private static final double MOST_SPREAD_MS = 1000;     // or within one call of our part, at most this
+    private static final double SELDOM_SPREAD_MS = 1000;   // or within this, where each calls seldom
     private static final double CROWD_MS = 2500;           // a failed connect and an answer so close: crowded
     private static final double CROWDED_MS = 5000;         // a lone failed connect closes idle ones so long
     // Choice among waiting messages.
@@ -299,7 +299,7 @@
         if (o.waitMs() > 0) {
             // A wait binds whichever message learned it: messages of one call are told different ones.
             // When it is over all relays come at once: a little chance spreads them.
-            double spread = Math.max(SPREAD_MS, Math.min(MOST_SPREAD_MS, 1000 / part(now, e.unit)));
+            double spread = part(now, e.unit) < SELDOM ? SELDOM_SPREAD_MS : SPREAD_MS;
             double until = now + o.waitMs() + 1 + random.nextDouble() * spread;
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
