An endpoint of a destination that had none starts cold: fail-back kept

Cause: add() starts an endpoint cold only beside one that is down; ten seconds after it left the list that one is forgotten. Change: so it does where the list had named endpoints of the destination and none is left.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -151,6 +151,7 @@
         Unit shared;                        // of its endpoints that are no routes apart
         final double[] usual = new double[cfg.classes().size()]; // duration of a call, ms, by class
         final int[] seen = new int[cfg.classes().size()];
+        boolean bare;                       // had endpoints on the list, and none now
         int inflight, taken;                // calls out now; messages handed in so far
     }
 
@@ -217,7 +218,11 @@
         });
         dests.values().removeIf(d -> d.endpoints.isEmpty()
                 && held.values().stream().noneMatch(m -> m.dest == d));
-        dests.values().forEach(d -> d.active = d.endpoints.stream().filter(e -> e.active).toList());
+        dests.values().forEach(d -> {
+            boolean listed = !d.active.isEmpty();
+            d.active = d.endpoints.stream().filter(e -> e.active).toList();
+            d.bare = d.active.isEmpty() && (d.bare || listed);
+        });
     }
 
     private void leave(double now, Endpoint e) {
@@ -236,7 +241,7 @@
         e.dest.endpoints.add(e);
         if (e.dest.shared == null) { e.dest.shared = new Unit(e.dest, e.kind); }
         e.unit = e.kind.routesApart() ? new Unit(e.dest, e.kind) : e.dest.shared;
-        boolean sick = e.unit.endpoints.stream().anyMatch(x -> x.down);
+        boolean sick = e.dest.bare || e.unit.endpoints.stream().anyMatch(x -> x.down);
         e.unit.endpoints.add(e);
         if (sick) { coldFrom(now, e); } // all relays learn of it at once, and what waits would go together
         return e;
