--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -257,7 +257,7 @@
         m.dest.taken++;
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
         m.notBefore = now;
-        // A refusal proves that an unsafe message never ran. A relay that died or did not answer proves nothing.
+        // A refusal proves that an unsafe message never ran; a relay that died or was silent proves nothing.
         if (message.fromDeadRelay() || message.again() && m.c.effect() != Effect.UNSAFE) {
             m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
         }
