A shared call that broke counts once; migrate keeps files readable and names odd fields

Symptom, by reading the change again: ended() set 'judged' only for calls that had not broken, so a broken call of ten messages counted as ten dead connections; migrate wrote with the rights of a temporary file (0600), which a relay of another user cannot read, and ended with status 1 where a class or loadReport is no object. Change: judged is set for every call; the draft is an ordinary file; such fields are named, status 2.

--- a/src/main/java/firstair/cli/MigrateCommand.java
+++ b/src/main/java/firstair/cli/MigrateCommand.java
@@ -90,18 +90,14 @@
                 throw new ConfigException("--out", "is there already" + (force ? ": " : ", without --force: ") + out);
             }
         }
-        Path folder = out.toAbsolutePath().getParent();
-        Path draft = null;
+        Path draft = out.resolveSibling("." + out.getFileName() + ".new"); // with the rights that files have here
         try {
-            draft = Files.createTempFile(folder, ".migrate", ".json");
             Files.writeString(draft, text);
             Files.move(draft, out, StandardCopyOption.ATOMIC_MOVE);
         } catch (IOException e) {
             throw new ConfigException("--out", "cannot be written: " + e);
         } finally {
-            if (draft != null) {
-                Files.deleteIfExists(draft);
-            }
+            Files.deleteIfExists(draft);
         }
     }
 }
--- a/src/main/java/firstair/cli/Migration.java
+++ b/src/main/java/firstair/cli/Migration.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import firstair.relay.ConfigException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -47,8 +48,8 @@
         put(settings, "settings.", "weightKind", shape.weights(), "none");
         JsonElement classes = settings.get("classes");
         for (int i = 0; classes != null && classes.isJsonArray() && i < classes.getAsJsonArray().size(); i++) {
-            JsonObject one = classes.getAsJsonArray().get(i).getAsJsonObject();
-            put(one, "settings.classes." + i + ".", "semantics", null, "retryable");
+            put(object("classes." + i, classes.getAsJsonArray().get(i)), "settings.classes." + i + ".", "semantics",
+                    null, "retryable");
         }
         if (shape.drainGraceMs() != null) {
             JsonObject safety = child(settings, "safety");
@@ -92,7 +93,14 @@
         if (!at.has(name)) {
             at.add(name, new JsonObject());
         }
-        return at.getAsJsonObject(name);
+        return object(name, at.get(name));
+    }
+
+    private static JsonObject object(String path, JsonElement e) {
+        if (!e.isJsonObject()) {
+            throw new ConfigException("settings." + path, "not an object");
+        }
+        return e.getAsJsonObject();
     }
 
     private static boolean has(JsonObject at, String path) {
--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -314,6 +314,7 @@
         double usual = usual(m.dest, m.type);
         boolean broke = c.kept && how == Result.RESET && o.tookMs() < DEAD * usual;
         boolean died = broke || c.stood && how == Result.TIMEOUT && e.failRun == 0 && e.slowness < LIVELY;
+        // A shared call has one fate: it is counted once, here and in what is told of its endpoint.
         if (c.stood && !c.judged && (died || how == Result.OK)) {
             stale += LEARN_STALE * ((died ? 1 : 0) - stale);
         }
@@ -321,10 +322,8 @@
             if (staleUntil < now) { act.report("idle connections held to be dead after " + how); }
             staleUntil = now + STALE_MS;
         }
-        if (!c.judged && !broke) {
-            c.judged = true; // a shared call has one fate: count it once
-            judge(now, o, c, m);
-        }
+        if (!c.judged && !broke) { judge(now, o, c, m); }
+        c.judged = true;
         Order order = m.ordered() ? orders.get(m.m.key()) : null;
         if (order != null) {
             order.out--;
