--- a/src/test/java/firstair/cli/CliTest.java
+++ b/src/test/java/firstair/cli/CliTest.java
@@ -1,5 +1,6 @@
 package firstair.cli;
 
+import static java.util.stream.Collectors.joining;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
@@ -7,11 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class CliTest {
@@ -68,4 +71,47 @@
         assertThat(Cli.run("generate-completion")).isZero();
         assertThat(told.toString(StandardCharsets.UTF_8)).contains("firstair ").contains("_complete_firstair");
     }
+
+    /** Status of a migration; only what it told is kept. */
+    private int migrate(Object... words) {
+        told.reset();
+        wrong.reset();
+        return Cli.run(("config migrate " + Stream.of(words).map(Object::toString).collect(joining(" "))).split(" "));
+    }
+
+    @Test
+    void aMigratedConfigurationSaysWhatTheOldOneLeftOutAndNothingIsOverwritten(@TempDir Path folder) throws Exception {
+        String text = Files.readString(Path.of("examples", "config.json")).replaceFirst("\\{", "{\"ours\": 7,");
+        Path old = Files.writeString(folder.resolve("old.json"), text);
+        Path out = folder.resolve("new.json");
+        Path twice = folder.resolve("twice.json");
+        assertThat(migrate(old, "--dry-run", "--out", out)).isZero();
+        assertThat(told.toString()).contains("\"loadReport\"", "# written:");
+        assertThat(folder).isDirectoryNotContaining("glob:**new*");
+        assertThat(migrate(old, "--out", out, "--reports", "none", "--weights", "rough", "--drain-grace", 9)).isZero();
+        assertThat(told.toString()).contains("loadReport.how = none", "weightKind = rough", "drainGrace = 9",
+                "not carried over: settings.accounts", "ours: not known");
+        assertThat(Files.readString(out)).contains("\"how\": \"none\"", "\"ours\": 7", "\"lateValue\": 0.1");
+        assertThat(migrate(out, "--out", twice)).isZero();
+        assertThat(told.toString()).doesNotContain("written:");
+        assertThat(twice).hasSameTextualContentAs(out);
+        assertThat(migrate(old, "--out", twice)).isEqualTo(2);
+        assertThat(migrate(old, "--out", old, "--force")).isEqualTo(2);
+        assertThat(old).hasContent(text);
+        assertThat(migrate(old, "--out", twice, "--force")).isZero();
+        assertThat(Files.readString(twice)).contains("\"how\": \"answers\"");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'',not a JSON object", "'{\"name\":',not JSON", "'{}',settings: missing",
+        "'{\"settings\":{\"classes\":[{}],\"loadReport\":{\"how\":\"shout\"}}}',loadReport.how",
+        "'{\"settings\":{\"classes\":[{}],\"loadReport\":7}}',loadReport: not an object",
+        "'{\"settings\":{\"classes\":[7]}}',classes.0: not an object", ",cannot be read"})
+    void whatCannotBeMigratedIsOneLine(String text, String fault, @TempDir Path folder) throws Exception {
+        Path old = text == null ? folder : Files.writeString(folder.resolve("old.json"), text);
+        assertThat(migrate(old, "--out", folder.resolve("new.json"))).isEqualTo(2);
+        assertThat(wrong.toString().lines()).singleElement().asString().contains(fault);
+        assertThat(migrate("examples/config.json", "--out", folder.resolve("none").resolve("new.json"))).isEqualTo(2);
+        assertThat(wrong.toString().lines()).singleElement().asString().contains("cannot be written");
+    }
 }
