A relay turned away at the door comes again soon, with fewer connections, and keeps none

Ruled out: limits (100 refused calls in zone+vast), list (versions arrive), time-outs (8), CPU (0.35 s in the worst second). At fault: judge() held an endpoint for sick after five CROWDED in 2.5 s, so relays stayed away for seconds while others held its places; leavesRoom() kept idle connections where a relay calls more than 1.4 times a second (group of 14 in an idle span of 10 s), though a kept connection pays only below the length of a handshake, some 60 ms. Change: CROWDED pauses the endpoint for this relay (50 ms doubling to 0.8 s), halves the connections that it may have there (more with each answer), closes behind each call for 5 s; sick only once nothing else came for an idle span; a trial that is turned away is tried again soon.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -69,6 +69,10 @@
     private static final double SELDOM_SPREAD_MS = 1000;   // or within this, where each calls seldom
     private static final double CROWD_MS = 2500;           // a failed connect and an answer so close: crowded
     private static final double CROWDED_MS = 5000;         // a lone failed connect closes idle ones so long
+    private static final double DOOR_MS = 50;              // first pause at an endpoint that turned us away,
+    private static final double MOST_DOOR_MS = 800;        // and the longest: it answers, so room may come soon
+    private static final double FEWER_PLACES = 0.5;        // of our connections there are kept after that,
+    private static final double MORE_PLACES = 0.25;        // and so many come back with each answer
     // Choice among waiting messages.
     private static final double FAILED_COST = 0.2;         // cost of an endpoint for each failure in a row
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
@@ -138,6 +142,9 @@
         final ArrayDeque<Double> idle = new ArrayDeque<>(); // when our idle connections were last used
         double trialAt, rampAt, rampOwed;            // next trial; last call of a return and its weight
         double noConnAt = NEVER, okSentAt = NEVER;   // last failed connect; latest send that was answered
+        double doorAt = NEVER, awayAt = NEVER;       // end of our pause after it turned us away; when it did
+        double places = FOREVER;                     // connections that we may have there at once
+        int aways;                                   // turned away so often since the last answer
         double leftAt = FOREVER;                     // since when it is no longer listed
         double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
         double slowness = 1;                                // recent durations over the usual ones
@@ -364,6 +371,8 @@
             }
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
             lost -= LEARN_LOST * lost;
+            e.places += MORE_PLACES; // FOREVER stays so
+            e.aways = 0;
             e.down = false;
             e.failRun = 0;
             e.okSentAt = Math.max(e.okSentAt, c.sentAt);
@@ -376,12 +385,17 @@
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
         if (o.result() == Result.CROWDED) {
-            // Idle connections of all relays have filled it. It answers, so it is not down: held to be sick
-            // it would be left alone for minutes. Ours leave room from now on; where that goes on it is shut.
+            // Connections of all relays have filled it. It answers, so it is not down: held to be sick it would
+            // be left alone for seconds, by all in turn. We come again soon, with fewer, and leave room from now
+            // on. Idle connections last a while: what goes on for longer is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
+            e.awayAt = now;
+            e.places = Math.max(1, FEWER_PLACES * Math.min(e.places, e.inflight + 1));
+            e.doorAt = now + jittered(Math.min(MOST_DOOR_MS, DOOR_MS * Math.pow(PAUSE_GROWTH, e.aways++)));
             if (Double.isNaN(u.fullSince)) { u.fullSince = now; }
-            if (!c.trial && (++u.fullRun < FULL_OUTAGE || now - u.fullSince < FULL_OUTAGE_MS)) { return; }
+            if (e.down) { e.trialAt = now + jittered(FIRST_TRIAL_MS); }
+            if (now - u.fullSince < cfg.limits().connectionIdleMs() || e.down) { return; }
         }
         boolean gone = o.result() == Result.TIMEOUT || o.result() == Result.RESET;
         if (gone && e.failRun == 0) { lost += LEARN_LOST * (1 - lost); }
@@ -720,7 +734,8 @@
     /** Where few connections are taken, idle ones of relays that call seldom leave no room for the others. */
     private boolean leavesRoom(double now, Endpoint e) {
         double span = cfg.limits().connectionIdleMs() / 1000;
-        return crowdedUntil[e.kindNo] > now && part(now, e.unit) / e.unit.active() * span < cfg.group();
+        return crowdedUntil[e.kindNo] > now && (now - e.awayAt < CROWDED_MS
+                || part(now, e.unit) / e.unit.active() * span < cfg.group());
     }
 
     private void closeIdle(Endpoint e) {
@@ -758,6 +773,11 @@
                 }
             }
         }
+        if (e.doorAt > now) {
+            wake(e.doorAt);
+            return false;
+        }
+        if (e.inflight >= e.places && now - e.awayAt < CROWDED_MS) { return false; } // the next end opens it
         refill(now, u);
         if (u.tokens < 1) {
             wake(now + (1 - u.tokens) / u.rate * 1000);
