Connections stay while messages wait and close by the gap between calls; a resting one is waited for

At fault: leavesRoom() heeds only this relay's own turning away at that endpoint; send() closes behind each call though messages wait; Endpoints.call() opens a further connection where the kept one rests (restMs). Change: for 10 s after an endpoint of a kind turned us away, all its endpoints that we call less than ten times a second are left (a kept place pays for the length of two handshakes); not while messages wait that can use it; a resting connection is set aside and used after its rest.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -69,6 +69,8 @@
     private static final double SELDOM_SPREAD_MS = 1000;   // or within this, where each calls seldom
     private static final double CROWD_MS = 2500;           // a failed connect and an answer so close: crowded
     private static final double CROWDED_MS = 5000;         // a lone failed connect closes idle ones so long
+    private static final double KEEP_MS = 100;             // two handshakes: kept longer, a place is lost
+    private static final double TURNED_MS = 10_000;        // turned away within it, a kind is short of places
     private static final double DOOR_MS = 50;              // first pause at an endpoint that turned us away,
     private static final double MOST_DOOR_MS = 800;        // and the longest: it answers, so room may come soon
     private static final double FEWER_PLACES = 0.5;        // of our connections there are kept after that,
@@ -160,7 +162,7 @@
         final double[] usual = new double[cfg.classes().size()]; // duration of a call, ms, by class
         final int[] seen = new int[cfg.classes().size()];
         boolean bare;                       // had endpoints on the list, and none now
-        int inflight, taken;                // calls out now; messages handed in so far
+        int inflight, taken, waiting;       // calls out now; messages handed in so far; such as go now or soon
     }
 
     private static final class Order {
@@ -179,6 +181,7 @@
     private final Map<String, Order> orders = new HashMap<>();
     private final double[] classUsual;
     private final double[] crowdedUntil; // for each kind: until then idle connections are closed
+    private final double[] turnedAt;     // for each kind: when an endpoint last turned us away
     private final Set<Endpoint> unused = new LinkedHashSet<>(); // may have idle connections to be closed
     private double staleUntil = NEVER; // until then idle connections are held to be dead
     private double stale;             // recent share of calls on connections that stood idle and were dead
@@ -199,6 +202,7 @@
         Arrays.fill(classUsual, DEFAULT_CALL_MS);
         crowdedUntil = new double[Math.max(1, settings.kinds().size())];
         Arrays.fill(crowdedUntil, NEVER);
+        turnedAt = crowdedUntil.clone();
         if (cfg.askForList()) { act.watchList(); }
     }
 
@@ -390,7 +394,7 @@
             // on. Idle connections last a while: what goes on for longer is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
-            e.awayAt = now;
+            e.awayAt = turnedAt[e.kindNo] = now;
             e.places = Math.max(1, FEWER_PLACES * Math.min(e.places, e.inflight + 1));
             e.doorAt = now + jittered(Math.min(MOST_DOOR_MS, DOOR_MS * Math.pow(PAUSE_GROWTH, e.aways++)));
             if (Double.isNaN(u.fullSince)) { u.fullSince = now; }
@@ -550,8 +554,10 @@
         wake(askAt);
         orders.values().removeIf(o -> o.queue.isEmpty() && o.out == 0 && o.restUntil <= now);
         List<Msg> ready = new ArrayList<>();
+        dests.values().forEach(d -> d.waiting = 0);
         for (Msg m : new ArrayList<>(held.values())) {
             if (m.out || drop(now, m)) { continue; }
+            if (m.notBefore <= now + KEEP_MS) { m.dest.waiting++; }
             if (m.notBefore > now) {
                 wake(m.notBefore);
             } else if (inTurn(now, m)) { ready.add(m); }
@@ -560,8 +566,10 @@
         ready.forEach(m -> m.rank = rank(now, m));
         ready.sort(Comparator.comparingDouble((Msg m) -> -m.rank));
         ready.forEach(m -> { if (!m.over) { trySend(now, m); } });
-        for (Endpoint e : unused) { if (leavesRoom(now, e) && hasIdle(now, e)) { closeIdle(e); } }
-        unused.clear();
+        unused.removeIf(e -> {
+            if (hasIdle(now, e) && leavesRoom(now, e)) { closeIdle(e); }
+            return e.idle.isEmpty() || e.dest.waiting == 0;
+        });
         if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
             double in = Math.max(TICK_MS / 2, nextWake - now);
             wakeAt = now + in;
@@ -731,11 +739,15 @@
         return !e.idle.isEmpty();
     }
 
-    /** Where few connections are taken, idle ones of relays that call seldom leave no room for the others. */
+    /**
+     * Where few connections are taken, idle ones of relays that call seldom leave no room for the others: a place
+     * that is kept serves nobody until our next call, a new connection takes it for a handshake longer.
+     */
     private boolean leavesRoom(double now, Endpoint e) {
-        double span = cfg.limits().connectionIdleMs() / 1000;
-        return crowdedUntil[e.kindNo] > now && (now - e.awayAt < CROWDED_MS
-                || part(now, e.unit) / e.unit.active() * span < cfg.group());
+        if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0) { return false; }
+        double rate = part(now, e.unit) / e.unit.active();
+        return rate * cfg.limits().connectionIdleMs() / 1000 < cfg.group()
+                || now - turnedAt[e.kindNo] < TURNED_MS && rate * KEEP_MS / 1000 < 1;
     }
 
     private void closeIdle(Endpoint e) {
@@ -773,11 +785,13 @@
                 }
             }
         }
-        if (e.doorAt > now) {
-            wake(e.doorAt);
-            return false;
+        if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
+            if (e.doorAt > now) {
+                wake(e.doorAt);
+                return false;
+            }
+            if (e.inflight >= e.places) { return false; } // the next end opens it
         }
-        if (e.inflight >= e.places && now - e.awayAt < CROWDED_MS) { return false; } // the next end opens it
         refill(now, u);
         if (u.tokens < 1) {
             wake(now + (1 - u.tokens) / u.rate * 1000);
@@ -816,6 +830,7 @@
         }
         attempts.put(key(m.m.id(), m.tries++), new Attempt(m, c));
         m.out = true;
+        m.dest.waiting--;
         if (m.ordered()) { orders.get(m.m.key()).out++; }
         act.send(m.m.id(), e.name, timeout(now, m, e, c), leavesRoom(now, e));
     }
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -139,6 +139,7 @@
         private final List<Loop.Timer> timers = new ArrayList<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Link link; // null until one carries it
+        private Link resting; // set aside for it, null once it is used
         private boolean fresh; // on a connection of its own making
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
@@ -175,10 +176,12 @@
             }
             byte[] request = request(patience, HostPort.of(to));
             ArrayDeque<Idle> kept = idle.getOrDefault(endpoint, new ArrayDeque<>());
+            Idle rests = null;
             for (Iterator<Idle> all = kept.descendingIterator(); all.hasNext();) {
                 Idle last = all.next();
                 if (startedAt - last.since() < limits.restMs()) {
-                    continue; // what is still to come behind its last answer must not be taken for the next one
+                    rests = last; // what is still to come behind its last answer must not be taken for the next one
+                    continue;
                 }
                 all.remove();
                 if (last.link().send(request, this)) {
@@ -186,6 +189,25 @@
                     return;
                 }
             }
+            if (rests == null) {
+                open(to, request);
+                return;
+            }
+            // The rest is shorter than a handshake, and an endpoint may have no place for a further connection.
+            kept.remove(rests);
+            resting = rests.link();
+            timers.add(loop.after(rests.since() + limits.restMs() - startedAt, () -> {
+                Link rested = resting;
+                resting = null;
+                if (rested.send(request, this)) {
+                    link = rested;
+                } else {
+                    open(to, request);
+                }
+            }));
+        }
+
+        private void open(InetSocketAddress to, byte[] request) {
             makeRoom();
             fresh = true;
             Link[] made = new Link[1];
@@ -342,6 +364,9 @@
                 over = true;
                 calls.remove(this);
                 timers.forEach(Loop.Timer::cancel);
+                if (resting != null) {
+                    resting.leave();
+                }
                 boolean given = how.result() == Result.TIMEOUT || how.result() == Result.CANCELLED;
                 if (given && link != null) {
                     link.leave();
--- a/src/test/java/firstair/control/FleetTest.java
+++ b/src/test/java/firstair/control/FleetTest.java
@@ -35,7 +35,7 @@
      * be room for none of the others. One that is turned away must not take that for an outage either.
      */
     @ParameterizedTest
-    @CsvSource({"100,15,500,11", "100,15,500,12", "3,10,50,14"})
+    @CsvSource({"100,15,500,11", "100,15,500,12", "60,10,500,13", "14,8,70,15", "3,10,50,14"})
     void relaysFitIntoEndpointsThatHoldFewConnections(int relays, int room, double everyMs, long seed) {
         Random random = new Random(seed);
         List<Relay> fleet = new ArrayList<>();
@@ -45,6 +45,7 @@
         }
         int[] held = new int[ENDPOINTS];
         int taken = 0;
+        int turned = 0;
         for (double now = 1_000; now < 31_000; now += 5) {
             for (Relay r : fleet) {
                 Bench b = r.bench;
@@ -79,6 +80,7 @@
                         held[e]++;
                     } else {
                         r.turnedAway.add(b.sent.get(r.seen));
+                        turned++;
                     }
                 }
             }
--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -122,6 +122,20 @@
         assertThat(s.accepted()).isEqualTo(1);
     }
 
+    /** A further one would cost a handshake, and a place that an endpoint in a crowd does not have. */
+    @Test
+    void aConnectionThatRestsIsWaitedFor() throws Exception {
+        StandIn s = endpoint(r -> r.answer(200));
+        assertThat(ends(LONG_MS)).isEqualTo(Result.OK);
+        call(item(2, LONG_MS, 1e9));
+        Outcome o = next();
+        assertThat(o.result()).isEqualTo(Result.OK);
+        assertThat(s.accepted()).isEqualTo(1);
+        assertThat(ends(1)).as("given up while it rests").isEqualTo(Result.CONNECT_FAILED);
+        assertThat(ends(LONG_MS)).isEqualTo(Result.OK);
+        assertThat(s.accepted()).as("what was set aside has been closed").isEqualTo(2);
+    }
+
     /** Its place is free as soon as the answer is written, and not a way there and back later. */
     @Test
     void theLastCallOnAConnectionSaysSo() throws Exception {
