Started with SIGHUP ignored, a relay looks at its files instead: no message is lost by it

Ruled out: load beside it, the store, a half-written file, signals during a start. At fault: Signals.onHangup, which took the signal for given; a Java VM that finds SIGHUP ignored at its start leaves it ignored in silence. Change: it tells so, and Hangups.watch takes a change of the configuration or settings file (four looks a second) for the signal. Test: RelayProcessTest.atAHangUpItFollowsDiscoveryAndThePlatformAndTouchesNoMessage with the signal ignored, which fails without the change.

--- a/src/main/java/firstair/Hangups.java
+++ b/src/main/java/firstair/Hangups.java
@@ -1,10 +1,21 @@
 package firstair;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+
 /**
  * SIGHUP from the first moment of a process on. One that comes while the relay is still starting is kept until it
- * serves: the configuration may have been read just before it was changed, and nobody signals twice.
+ * serves: the configuration may have been read just before it was changed, and nobody signals twice. Where the process
+ * was started with SIGHUP ignored, changes of the files stand in for it.
  */
 final class Hangups {
+    private static final int LOOK_MS = 250; // four times a second: the platform's old place answers for 1.5 s
+
     private Runnable reload;
     private boolean missed;
 
@@ -27,4 +38,44 @@
             new Thread(task, "hangup").start();
         }
     }
+
+    /** Looks at files for as long as the process lives, and takes each change of one for a signal. */
+    void watch(List<Path> files) {
+        Logger.getLogger(Hangups.class.getName())
+                .info("started with SIGHUP ignored: the configuration is looked at for changes instead");
+        List<String> first = states(files);
+        Thread t = new Thread(() -> look(files, first), "files");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private void look(List<Path> files, List<String> first) {
+        List<String> before = first;
+        try {
+            while (true) {
+                TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+                List<String> now = states(files);
+                if (!now.equals(before)) {
+                    before = now;
+                    signal();
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static List<String> states(List<Path> files) {
+        return files.stream().map(Hangups::state).toList();
+    }
+
+    /** Differs once the file has been written or another one has taken its place. */
+    private static String state(Path file) {
+        try {
+            BasicFileAttributes a = Files.readAttributes(file, BasicFileAttributes.class);
+            return a.fileKey() + " " + a.lastModifiedTime() + " " + a.size();
+        } catch (IOException e) {
+            return "none";
+        }
+    }
 }
--- a/src/main/java/firstair/Serve.java
+++ b/src/main/java/firstair/Serve.java
@@ -6,7 +6,9 @@
 import firstair.relay.Own;
 import firstair.relay.Relay;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** Runs one relay in this process until it is told to end. */
 public final class Serve {
@@ -20,7 +22,11 @@
     public static int run(Map<String, String> env) throws InterruptedException {
         Logs.install();
         Hangups hangups = new Hangups();
-        Signals.onHangup(hangups::signal); // before anything else: a relay that is still starting must not end by it
+        // Before anything else: a relay that is still starting must not end by it, nor miss a change of its files.
+        if (!Signals.onHangup(hangups::signal)) {
+            hangups.watch(Stream.of("ROUTER_CONFIG", Own.FILE).filter(env::containsKey).map(env::get).map(Path::of)
+                    .toList());
+        }
         Relay relay;
         try {
             relay = new Relay(Config.read(env).with(Own.read(env)));
--- a/src/main/java/firstair/kit/run/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -39,6 +39,7 @@
     private int sockets = 1024;
     private String listen = "127.0.0.1:0";
     private int niceness;
+    private boolean ignoring;
     private Path settings;
     private volatile boolean unread;
     private Process process;
@@ -77,6 +78,11 @@
         niceness = by;
     }
 
+    /** Started from now on with SIGHUP ignored, as by {@code nohup}. */
+    public void ignoreHangUps() {
+        ignoring = true;
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return address;
@@ -162,8 +168,8 @@
             classPath.add(place(Toml.class));
             classPath.add(place(Class.forName("org.antlr.v4.runtime.CharStream")));
         }
-        List<String> command = List.of("nice", "-n", String.valueOf(niceness), "sh",
-                Path.of("deploy", "run.sh").toString(), "-cp",
+        List<String> command = List.of("sh", "-c", (ignoring ? "trap '' HUP; " : "") + "exec \"$@\"", "sh",
+                "nice", "-n", String.valueOf(niceness), "sh", Path.of("deploy", "run.sh").toString(), "-cp",
                 String.join(System.getProperty("path.separator"), classPath), "firstair.Main", "serve");
         ProcessBuilder b = new ProcessBuilder(command);
         b.environment().merge("PATH", Path.of(System.getProperty("java.home"), "bin").toString(),
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -427,9 +427,16 @@
         }
     }
 
-    /** SIGHUP would end the virtual machine; here it means to follow discovery and the platform elsewhere. */
-    @Test
-    void atAHangUpItFollowsDiscoveryAndThePlatformAndTouchesNoMessage() throws Exception {
+    /**
+     * SIGHUP would end the virtual machine; here it means to follow discovery and the platform elsewhere. Who starts us
+     * with it ignored keeps it from us for good: then the changed file alone has to do.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void atAHangUpItFollowsDiscoveryAndThePlatformAndTouchesNoMessage(boolean ignored) throws Exception {
+        if (ignored) {
+            node.ignoreHangUps();
+        }
         LinkedBlockingQueue<StandIn.Request> held = new LinkedBlockingQueue<>();
         behaviour = held::add;
         node.start();
