Idle connections of seldom callers are renewed once in an idle span

Seen in FleetTest's model (100 relays, 15 places): eight or nine places of 15 are held idle by five to nine relays that are never turned away and so never learn that others are, 3,634 calls turned away of 9,592 attempts for 5,990 messages. At fault: nothing tells a holder; leavesRoom() heeds only who was turned away. Change: where each of the group could not keep one in use (our calls in an idle span are fewer than the relays), a kept connection ends once in an idle span, at a drawn moment first: who is then turned away has learned. And a kind is short of places for us only if we were turned away with no connection of ours there, so that a few relays with several each go on keeping them (FleetTest, 3 relays at 10 places).

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -146,6 +146,7 @@
         double noConnAt = NEVER, okSentAt = NEVER;   // last failed connect; latest send that was answered
         double doorAt = NEVER, awayAt = NEVER;       // end of our pause after it turned us away; when it did
         double places = FOREVER;                     // connections that we may have there at once
+        double renewAt = FOREVER;
         int aways;                                   // turned away so often since the last answer
         double leftAt = FOREVER;                     // since when it is no longer listed
         double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
@@ -311,6 +312,7 @@
             e.dest.inflight--;
             if (how == Result.OK || how == Result.ERROR || how == Result.FULL) {
                 e.idle.addLast(now);
+                if (e.renewAt == FOREVER) { e.renewAt = now + 1 * random.nextDouble() * cfg.limits().connectionIdleMs(); }
                 unused.add(e);
             }
         }
@@ -394,7 +396,8 @@
             // on. Idle connections last a while: what goes on for longer is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
-            e.awayAt = turnedAt[e.kindNo] = now;
+            e.awayAt = now;
+            if (e.inflight == 0 && !hasIdle(now, e)) { turnedAt[e.kindNo] = now; } // not one for each of us
             e.places = Math.max(1, FEWER_PLACES * Math.min(e.places, e.inflight + 1));
             e.doorAt = now + jittered(Math.min(MOST_DOOR_MS, DOOR_MS * Math.pow(PAUSE_GROWTH, e.aways++)));
             if (Double.isNaN(u.fullSince)) { u.fullSince = now; }
@@ -567,7 +570,10 @@
         ready.sort(Comparator.comparingDouble((Msg m) -> -m.rank));
         ready.forEach(m -> { if (!m.over) { trySend(now, m); } });
         unused.removeIf(e -> {
-            if (hasIdle(now, e) && leavesRoom(now, e)) { closeIdle(e); }
+            if (hasIdle(now, e) && (leavesRoom(now, e) || now > e.renewAt && seldom(now, e))) {
+                closeIdle(e);
+                e.renewAt = now + jittered(cfg.limits().connectionIdleMs());
+            }
             return e.idle.isEmpty() || e.dest.waiting == 0;
         });
         if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
@@ -746,8 +752,11 @@
     private boolean leavesRoom(double now, Endpoint e) {
         if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0) { return false; }
         double rate = part(now, e.unit) / e.unit.active();
-        return rate * cfg.limits().connectionIdleMs() / 1000 < cfg.group()
-                || now - turnedAt[e.kindNo] < TURNED_MS && rate * KEEP_MS / 1000 < 1;
+        return seldom(now, e) || now - turnedAt[e.kindNo] < TURNED_MS && rate * KEEP_MS / 1000 < 1;
+    }
+
+    private boolean seldom(double now, Endpoint e) {
+        return part(now, e.unit) / e.unit.active() * cfg.limits().connectionIdleMs() / 1000 < cfg.group();
     }
 
     private void closeIdle(Endpoint e) {
