--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -146,7 +146,7 @@
         double noConnAt = NEVER, okSentAt = NEVER;   // last failed connect; latest send that was answered
         double doorAt = NEVER, awayAt = NEVER;       // end of our pause after it turned us away; when it did
         double places = FOREVER;                     // connections that we may have there at once
-        double renewAt = FOREVER;
+        double renewAt = FOREVER;                    // when its kept connections are to end once
         int aways;                                   // turned away so often since the last answer
         double leftAt = FOREVER;                     // since when it is no longer listed
         double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
@@ -312,7 +312,7 @@
             e.dest.inflight--;
             if (how == Result.OK || how == Result.ERROR || how == Result.FULL) {
                 e.idle.addLast(now);
-                if (e.renewAt == FOREVER) { e.renewAt = now + 1 * random.nextDouble() * cfg.limits().connectionIdleMs(); }
+                if (e.renewAt == FOREVER) { e.renewAt = now + cfg.limits().connectionIdleMs() * random.nextDouble(); }
                 unused.add(e);
             }
         }
@@ -570,6 +570,7 @@
         ready.sort(Comparator.comparingDouble((Msg m) -> -m.rank));
         ready.forEach(m -> { if (!m.over) { trySend(now, m); } });
         unused.removeIf(e -> {
+            // Who holds a place where others are turned away never learns of it, but by asking anew now and then.
             if (hasIdle(now, e) && (leavesRoom(now, e) || now > e.renewAt && seldom(now, e))) {
                 closeIdle(e);
                 e.renewAt = now + jittered(cfg.limits().connectionIdleMs());
@@ -755,6 +756,7 @@
         return seldom(now, e) || now - turnedAt[e.kindNo] < TURNED_MS && rate * KEEP_MS / 1000 < 1;
     }
 
+    /** Whether not all of the group could keep a connection in use there. */
     private boolean seldom(double now, Endpoint e) {
         return part(now, e.unit) / e.unit.active() * cfg.limits().connectionIdleMs() / 1000 < cfg.group();
     }
--- a/src/test/java/firstair/control/FleetTest.java
+++ b/src/test/java/firstair/control/FleetTest.java
@@ -45,7 +45,6 @@
         }
         int[] held = new int[ENDPOINTS];
         int taken = 0;
-        int turned = 0;
         for (double now = 1_000; now < 31_000; now += 5) {
             for (Relay r : fleet) {
                 Bench b = r.bench;
@@ -80,14 +79,11 @@
                         held[e]++;
                     } else {
                         r.turnedAway.add(b.sent.get(r.seen));
-                        turned++;
                     }
                 }
             }
         }
         int attempts = fleet.stream().mapToInt(r -> r.bench.sent.size()).sum();
-        System.out.println("XX " + relays + " taken " + taken + " attempts " + attempts + " away " + turned + " kept "
-                + fleet.stream().flatMap(r -> r.bench.sent.stream()).filter(x -> !x.last()).count() + " lost " +fleet.stream().mapToInt(r -> r.bench.refused.size() + r.bench.givenUp.size()).sum());
         int lost = fleet.stream().mapToInt(r -> r.bench.refused.size() + r.bench.givenUp.size()).sum();
         assertThat(lost).as("not delivered of %d, seed %d", taken, seed).isLessThanOrEqualTo(taken / 40);
         assertThat(attempts).as("attempts for %d, seed %d", taken, seed).isBetween(taken * 9 / 10, taken * 3 / 2);
