--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -72,7 +72,7 @@
     private static final double KEEP_MS = 100;             // two handshakes: kept longer, a place is lost
     private static final double TURNED_MS = 10_000;        // turned away within it, a kind is short of places
     private static final double DOOR_MS = 50;              // first pause at an endpoint that turned us away,
-    private static final double MOST_DOOR_MS = 800;        // and the longest: it answers, so room may come soon
+    private static final double MOST_DOOR_MS = 800;        // and the longest: room may come at any time
     private static final double FEWER_PLACES = 0.5;        // of our connections there are kept after that,
     private static final double MORE_PLACES = 0.25;        // and so many come back with each answer
     // Choice among waiting messages.
@@ -163,7 +163,7 @@
         final double[] usual = new double[cfg.classes().size()]; // duration of a call, ms, by class
         final int[] seen = new int[cfg.classes().size()];
         boolean bare;                       // had endpoints on the list, and none now
-        int inflight, taken, waiting;       // calls out now; messages handed in so far; such as go now or soon
+        int inflight, taken, waiting;       // calls out; messages so far, and such as go soon
     }
 
     private static final class Order {
@@ -312,7 +312,9 @@
             e.dest.inflight--;
             if (how == Result.OK || how == Result.ERROR || how == Result.FULL) {
                 e.idle.addLast(now);
-                if (e.renewAt == FOREVER) { e.renewAt = now + cfg.limits().connectionIdleMs() * random.nextDouble(); }
+                if (e.renewAt == FOREVER) {
+                    e.renewAt = now + cfg.limits().connectionIdleMs() * random.nextDouble();
+                }
                 unused.add(e);
             }
         }
@@ -391,9 +393,9 @@
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
         if (o.result() == Result.CROWDED) {
-            // Connections of all relays have filled it. It answers, so it is not down: held to be sick it would
-            // be left alone for seconds, by all in turn. We come again soon, with fewer, and leave room from now
-            // on. Idle connections last a while: what goes on for longer is shut.
+            // Connections of all relays have filled it. It answers, so it is not down: held to be sick it
+            // would be left alone for seconds, by all in turn. We come again soon, with fewer, and leave room
+            // from now on. Idle connections last a while: what goes on for longer is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
             e.awayAt = now;
@@ -570,7 +572,7 @@
         ready.sort(Comparator.comparingDouble((Msg m) -> -m.rank));
         ready.forEach(m -> { if (!m.over) { trySend(now, m); } });
         unused.removeIf(e -> {
-            // Who holds a place where others are turned away never learns of it, but by asking anew now and then.
+            // Who holds a place where others are turned away learns of it only by asking anew now and then.
             if (hasIdle(now, e) && (leavesRoom(now, e) || now > e.renewAt && seldom(now, e))) {
                 closeIdle(e);
                 e.renewAt = now + jittered(cfg.limits().connectionIdleMs());
@@ -747,8 +749,8 @@
     }
 
     /**
-     * Where few connections are taken, idle ones of relays that call seldom leave no room for the others: a place
-     * that is kept serves nobody until our next call, a new connection takes it for a handshake longer.
+     * Where few connections are taken, idle ones of relays that call seldom leave no room for the others: a
+     * place that is kept serves nobody until our next call, a new connection takes it a handshake longer.
      */
     private boolean leavesRoom(double now, Endpoint e) {
         if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0) { return false; }
