Renewals of connections draw from a random source of their own

Seen: three tests with fixed seeds failed in a clean clone (RelayProcessTest.whatWaitsWhenToldToEndIsStillDelivered, one each of MechanismTest and RulesTest). Checked: each passes with the draws for renewals apart; the messages' own jitter had moved along the seed, no decision was at fault. At fault: the draw in ended() and the one in decide()'s loop, from the source that pauses and trials use. Change: renewals has a source of its own.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -174,7 +174,7 @@
 
     private final Settings cfg;
     private final Actions act;
-    private final Random random;
+    private final Random random, renewals; // apart, so that connections decide nothing about messages
     private final Map<Long, Msg> held = new LinkedHashMap<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<String, Endpoint> endpoints = new LinkedHashMap<>();
@@ -199,6 +199,7 @@
         cfg = settings;
         act = actions;
         random = new Random(seed);
+        renewals = new Random(~seed);
         classUsual = new double[settings.classes().size()];
         Arrays.fill(classUsual, DEFAULT_CALL_MS);
         crowdedUntil = new double[Math.max(1, settings.kinds().size())];
@@ -313,7 +314,7 @@
             if (how == Result.OK || how == Result.ERROR || how == Result.FULL) {
                 e.idle.addLast(now);
                 if (e.renewAt == FOREVER) {
-                    e.renewAt = now + cfg.limits().connectionIdleMs() * random.nextDouble();
+                    e.renewAt = now + cfg.limits().connectionIdleMs() * renewals.nextDouble();
                 }
                 unused.add(e);
             }
@@ -575,7 +576,7 @@
             // Who holds a place where others are turned away learns of it only by asking anew now and then.
             if (hasIdle(now, e) && (leavesRoom(now, e) || now > e.renewAt && seldom(now, e))) {
                 closeIdle(e);
-                e.renewAt = now + jittered(cfg.limits().connectionIdleMs());
+                e.renewAt = now + cfg.limits().connectionIdleMs() * (1 + JITTER * renewals.nextDouble());
             }
             return e.idle.isEmpty() || e.dest.waiting == 0;
         });
