--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -754,9 +754,8 @@
      * place that is kept serves nobody until our next call, a new connection takes it a handshake longer.
      */
     private boolean leavesRoom(double now, Endpoint e) {
-        // What a wait or a ramp holds back cannot use it soon; kept for that, it would keep others out.
-        boolean usable = !e.cold() && e.unit.waitUntil <= now + KEEP_MS;
-        if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0 && usable) { return false; }
+        // What a ramp holds back for seconds cannot use it soon; kept for that, it would keep others out.
+        if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0 && !e.cold()) { return false; }
         double rate = part(now, e.unit) / e.unit.active();
         return seldom(now, e) || now - turnedAt[e.kindNo] < TURNED_MS && rate * KEEP_MS / 1000 < 1;
     }
