--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -754,8 +754,7 @@
      * place that is kept serves nobody until our next call, a new connection takes it a handshake longer.
      */
     private boolean leavesRoom(double now, Endpoint e) {
-        // What a ramp holds back for seconds cannot use it soon; kept for that, it would keep others out.
-        if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0 && !e.cold()) { return false; }
+        if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0) { return false; }
         double rate = part(now, e.unit) / e.unit.active();
         return seldom(now, e) || now - turnedAt[e.kindNo] < TURNED_MS && rate * KEEP_MS / 1000 < 1;
     }
