A call whose connection comes up late is decided once more before it is written

Cause: Endpoints.Call.start gave the request's bytes to the dialer, and HttpLink.connected wrote them whenever the connection came up, up to the connect time-out later, asking nobody; the 20 ms of rest delayed a write in the same way. Confirmed on the program before, with a dialer that lets a connection up later: of two messages in a call the one whose time was up while it dialed got its end (TIMEOUT, so a final answer), and was written all the same, "/receive-many r1 - 4 ...", once the connection was there (FIRST result=TIMEOUT, WRITTEN r1): a request sent on after its final answer. Confirmed too: a relay killed while it dials (Relay.round noted the call, kept.called, before the dial) gave the unsafe message up at the next start, "0 messages and 1 notices", with no call ever made. Read and mended with it: messages of a round whose store failed kept their slots for good, an endpoint that moved while a call dialed got the call at its old place, a time-out ran while the connection came up, the one of a message in a bundle left doubt with nothing written.

Change: getting a connection and sending on it are two steps. Without a request Dialer.open tells Exchange.up; the loop's round asks Controller.mayGo with the state of that moment (wait told, endpoint left, draining or fallen, back and cold, zones, message over, deadline and window too near), notes in the store what may go and writes only that. The rest ends as WITHHELD: no attempt, no mark, no pause, slot, turn and pace given back, the connection kept. Calls that have a kept connection in their round are written at its end as before, with one flush. Time-out, doubt and window count from the write. A call that never had a connection is noted with its end; one whose kept connection was dead is unmarked meanwhile. What a peer says before the request is written is a refusal or nothing. At rest (SIGTERM) what is not written stays untried.

EndpointsTest gets the round that writes calls; nothing in its tests has changed.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -198,11 +198,10 @@
     private double staleUntil = NEVER; // until then idle connections are held to be dead
     private double stale;             // recent share of calls on connections that stood idle and were dead
     private double lost;              // recent share of time-outs at endpoints that did not fail before
-    private int slotsUsed;
+    private int slotsUsed, askFailures;
     private Share usualShare = Share.ALL;             // of destinations of which none was told
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
     private double nextWake;                          // earliest that this round wants
-    private int askFailures;
     private double startedAt = Double.NaN;            // when the first message came
     private boolean returned;                         // after a restart, with messages that were tried before
 
@@ -333,6 +332,20 @@
         if (now >= wakeAt - TICK_MS) { wakeAt = FOREVER; }
     }
 
+    @Override public boolean mayGo(double now, long id, int attempt) {
+        Attempt a = attempts.get(key(id, attempt));
+        if (a == null) { return false; }
+        Msg m = a.m;
+        Call c = a.call;
+        Endpoint e = c.e;
+        boolean fell = e.down ? !c.trial : e.coldSince > c.sentAt; // no trial, and in no ramp
+        boolean lands = now <= last(m) + usual(m.dest, m.type) / 2; // the connection was part of a call
+        if (m.over || fell || !lands || e.unit.waitUntil > now || !m.active().contains(e)) { return false; }
+        c.sentAt = now;
+        if (e.round == c) { e.round = null; } // nothing joins it any more
+        return true;
+    }
+
     @Override public void ended(double now, Outcome o) {
         Attempt a = attempts.remove(key(o.id(), o.attempt()));
         if (a == null) { return; }
@@ -345,7 +358,7 @@
             slotsUsed--;
             e.inflight--;
             e.dest.inflight--;
-            if (how == Result.OK || how == Result.ERROR || how == Result.FULL) {
+            if (how == Result.OK || how == Result.ERROR || how == Result.FULL || how == Result.WITHHELD) {
                 e.idle.addLast(now);
                 if (e.renewAt == FOREVER) {
                     e.renewAt = now + cfg.limits().connectionIdleMs() * renewals.nextDouble();
@@ -353,6 +366,13 @@
                 unused.add(e);
             }
         }
+        Order order = m.ordered() ? orders.get(m.m.key()) : null;
+        if (order != null) { order.out--; }
+        if (how == Result.WITHHELD) { // it never was, and is due again as things are now
+            m.tries--;
+            if (--c.items == 0 && c.lane == null) { e.unit.tokens++; }
+            return;
+        }
         e.unit.heard = true;
         if (!Double.isNaN(o.load().limitPerS())) { e.unit.limit = o.load().limitPerS(); }
         if (o.waitMs() > 0) {
@@ -376,12 +396,8 @@
         }
         if (!c.judged && !broke) { judge(now, o, c, m); }
         c.judged = true;
-        Order order = m.ordered() ? orders.get(m.m.key()) : null;
-        if (order != null) {
-            order.out--;
-            if (how == Result.TIMEOUT || how == Result.RESET || how == Result.CANCELLED) {
-                order.restUntil = Math.max(order.restUntil, now + cfg.rules().settleAfterDoubtMs());
-            }
+        if (order != null && (how == Result.TIMEOUT || how == Result.RESET || how == Result.CANCELLED)) {
+            order.restUntil = Math.max(order.restUntil, now + cfg.rules().settleAfterDoubtMs());
         }
         if (o.over()) { end(m); }
         if (m.over) { return; }
@@ -414,22 +430,18 @@
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
             lost -= LEARN_LOST * lost;
             e.places += MORE_PLACES; // FOREVER stays so
-            e.aways = 0;
             e.down = false;
-            e.failRun = 0;
             e.okSentAt = Math.max(e.okSentAt, c.sentAt);
             u.okAt = now;
-            u.failRun = 0;
-            u.fulls = 0;
             u.fullSince = Double.NaN;
-            u.fullRun = 0;
+            e.aways = e.failRun = u.failRun = u.fulls = u.fullRun = 0;
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
         if (o.result() == Result.CROWDED) {
-            // Connections of all relays have filled it. It answers, so it is not down: held to be sick it
-            // would be left alone for seconds, by all in turn. We come again soon, with fewer, and leave room
-            // from now on. Idle connections last a while: what goes on for longer is shut.
+            // Full of all relays' connections. It answers, so it is not down: held to be sick all would leave
+            // it alone for seconds. We come again soon, with fewer, and leave room from now on. Idle
+            // connections last a while: what goes on for longer is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
             e.awayAt = now;
@@ -593,9 +605,7 @@
         for (Msg m : new ArrayList<>(held.values())) {
             if (m.out || drop(now, m)) { continue; }
             if (m.notBefore <= now + KEEP_MS) { m.dest.waiting++; }
-            if (m.notBefore > now) {
-                wake(m.notBefore);
-            } else if (inTurn(now, m)) { ready.add(m); }
+            if ((m.notBefore <= now || later(m.notBefore)) && inTurn(now, m)) { ready.add(m); }
         }
         makeRoom(now);
         ready.forEach(m -> m.rank = rank(now, m));
@@ -618,30 +628,28 @@
 
     private void wake(double at) { nextWake = Math.min(nextWake, at); }
 
+    /** Not now, but perhaps at that time. */
+    private boolean later(double at) {
+        wake(at);
+        return false;
+    }
+
     /** Order per key: a message goes only when all taken before it with its key are over and at rest. */
     private boolean inTurn(double now, Msg m) {
         if (!m.ordered()) { return true; }
         Order order = orders.get(m.m.key());
         if (order.queue.peekFirst() != m || order.out > 0) { return false; }
-        boolean rests = m.tries == 0 && order.restUntil > now;
-        if (rests) { wake(order.restUntil); }
-        return !rests;
+        return m.tries > 0 || order.restUntil <= now || later(order.restUntil);
     }
 
     /** Gives the final answer at once where no further attempt can be made or can land in time. */
     private boolean drop(double now, Msg m) {
-        double usual = usual(m.dest, m.type);
-        double last = m.m.deadlineAt() - usual;
+        double last = last(m);
         boolean spent = cfg.limits().maxAttempts() > 0 && m.tries >= cfg.limits().maxAttempts();
-        if (m.inDoubt()) {
-            if (m.c.effect() == Effect.UNSAFE) {
-                spent = true;
-            } else if (m.c.effect() == Effect.KEYED) {
-                last = Math.min(last, m.doubtAt + m.c.windowMs() - usual);
-                spent |= m.c.scope() == Scope.ZONE && (m.doubtZone < 0
-                        ? m.dest.endpoints.stream().mapToInt(e -> e.zone).distinct().count() != 1
-                        : m.zones != null && !m.zones.contains(m.doubtZone)); // barred by now
-            }
+        spent |= m.inDoubt() && m.c.effect() == Effect.UNSAFE;
+        if (m.inDoubt() && m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ZONE) {
+            spent |= m.doubtZone < 0 ? m.dest.endpoints.stream().mapToInt(e -> e.zone).distinct().count() != 1
+                    : m.zones != null && !m.zones.contains(m.doubtZone); // barred by now
         }
         List<Endpoint> active = m.active();
         double opens = active.isEmpty() ? now : FOREVER;
@@ -658,6 +666,12 @@
         return true;
     }
 
+    /** Until when a call of it can land in time. */
+    private double last(Msg m) {
+        double closes = m.inDoubt() && m.c.effect() == Effect.KEYED ? m.doubtAt + m.c.windowMs() : FOREVER;
+        return Math.min(m.m.deadlineAt(), closes) - usual(m.dest, m.type);
+    }
+
     /** When the next trial is due, or the pace lets the next call go. */
     private double paced(double now, Endpoint e) {
         if (e.down) { return e.trialAt; }
@@ -753,10 +767,7 @@
         boolean slot = slotFor(m.dest);
         if (m.tries > 0 && m.dest.share.repeats() <= 0) { return; } // none left to the fleet until its news
         double opens = m.lane == null ? now : m.lane.opensAt(now);
-        if (opens > now) {
-            wake(opens);
-            return;
-        }
+        if (opens > now && !later(opens)) { return; }
         for (Endpoint e : m.active()) {
             if (m.inDoubt() && m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ZONE
                     && m.doubtZone >= 0 && e.zone != m.doubtZone) {
@@ -810,16 +821,12 @@
     /** Whether a new call may go to this endpoint now; asks for a wake-up when time alone will open it. */
     private boolean open(double now, Endpoint e, Lane lane) {
         Unit u = e.unit;
-        if (u.waitUntil > now) {
-            wake(u.waitUntil);
-            return false;
-        }
+        if (u.waitUntil > now) { return later(u.waitUntil); }
         // A return knows of no wait, and what was held comes with it: the first call asks for all of them.
         if (returned && !u.heard && u.endpoints.stream().anyMatch(x -> x.inflight > 0)) { return false; }
         if (e.down) {
             boolean onTrial = u.endpoints.stream().anyMatch(x -> x.down && x.inflight > 0); // one at a time
-            if (!onTrial && e.trialAt > now) { wake(e.trialAt); }
-            return !onTrial && e.trialAt <= now;
+            return !onTrial && (e.trialAt <= now || later(e.trialAt));
         }
         if (e.cold()) {
             if (e.coldSince < FOREVER && now - e.coldSince > cfg.rules().warmAfterMs()) {
@@ -831,25 +838,15 @@
                 double since = e.coldSince == FOREVER ? 0 : now - e.coldSince;
                 double owed = e.rampOwed * u.active();
                 double rest = e.rampAt + owed * 1000 / coldRate(now, u, since) - now;
-                if (rest > 0) {
-                    wake(now + Math.min(rest, RAMP_LOOK_MS));
-                    return false;
-                }
+                if (rest > 0) { return later(now + Math.min(rest, RAMP_LOOK_MS)); }
             }
         }
         if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
-            if (e.doorAt > now) {
-                wake(e.doorAt);
-                return false;
-            }
+            if (e.doorAt > now) { return later(e.doorAt); }
             if (e.inflight >= e.places) { return false; } // the next end opens it
         }
         refill(now, u);
-        if (lane == null && u.tokens < 1) {
-            wake(now + (1 - u.tokens) / u.pace * 1000);
-            return false;
-        }
-        return true;
+        return lane != null || u.tokens >= 1 || later(now + (1 - u.tokens) / u.pace * 1000);
     }
 
     private void send(double now, Msg m, Endpoint e) {
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -24,13 +24,14 @@
 
     /**
      * How an attempt ended. {@code CROWDED}: the endpoint answered, but took no further connection; nothing ran.
+     * {@code WITHHELD}: nothing of it was written, by {@link #mayGo}; it counts as none, and its number is free again.
      */
     enum Result {
-        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, CROWDED, RESET, CANCELLED, NOT_SENT;
+        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, CROWDED, RESET, CANCELLED, NOT_SENT, WITHHELD;
 
         /** Whether the message may have run: it has not where the call was turned away or never got there. */
         public boolean maybeRan() {
-            return this != FULL && this != CONNECT_FAILED && this != CROWDED && this != NOT_SENT;
+            return this != FULL && this != CONNECT_FAILED && this != CROWDED && this != NOT_SENT && this != WITHHELD;
         }
     }
 
@@ -149,6 +150,14 @@
     /** A message was handed in; one final answer is owed. */
     void taken(double now, Message message);
 
+    /**
+     * The connection for an attempt is there, later than the round that asked for it: whether it may still be written.
+     * Asked right before the write, from which it counts then; one that may not has to end as {@link Result#WITHHELD}.
+     */
+    default boolean mayGo(double now, long id, int attempt) {
+        return true;
+    }
+
     /** An attempt ended. */
     void ended(double now, Outcome outcome);
 
--- a/src/main/java/firstair/relay/Kept.java
+++ b/src/main/java/firstair/relay/Kept.java
@@ -114,8 +114,11 @@
         fresh.remove(release(id));
     }
 
-    /** An attempt has ended, and with it perhaps the message. */
-    void ended(Outcome o) {
+    /** An attempt has ended, and with it perhaps the message. One that was never noted counts among its calls now. */
+    void ended(Outcome o, long wall) {
+        if (store.tries(o.id()) == o.attempt()) {
+            store.called(o.id(), o.endpoint(), wall);
+        }
         store.ended(o.id(), o.attempt(), o.result().maybeRan());
         if (o.over()) {
             over(o.id());
@@ -133,9 +136,23 @@
         store.owed(id, notice);
     }
 
-    /** A call is about to be made; returns its number among the message's. */
-    int called(long id, String endpoint, long wall) {
-        return store.called(id, endpoint, wall);
+    /** How many calls of a message have been noted: the number of its next one. */
+    int tries(long id) {
+        return store.tries(id);
+    }
+
+    /** A call is about to be written, and may have run from now on. */
+    void called(long id, int attempt, String endpoint, long wall) {
+        if (store.tries(id) > attempt) {
+            store.ended(id, attempt, true); // noted before, for a connection that had died by then
+        } else {
+            store.called(id, endpoint, wall);
+        }
+    }
+
+    /** A call that was noted has not been written after all; it may be later. */
+    void unwritten(long id, int attempt) {
+        store.ended(id, attempt, false);
     }
 
     /** Notes what this round has taken; it is in the file with {@link #flush}. */
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -113,7 +113,7 @@
         Store store = Store.open(config.state(), limits.diskBytes());
         kept = new Kept(store);
         wire = new Wire(limits);
-        endpoints = new Endpoints(wire, limits, loop, this::ended);
+        endpoints = new Endpoints(wire, limits, loop, new Calls());
         notices = new Notices(wire, limits, loop, config.discovery(), new Random(config.seed()), store::over);
         Listed known = config.known();
         watch = new Watch(wire, limits, loop, config.discovery(), config.kinds(), config.zones(),
@@ -450,13 +450,28 @@
 
     private void ended(Outcome o) {
         Held h = kept.get(o.id());
-        if (h != null) {
+        if (h != null && o.result() != Result.WITHHELD) {
             fellows.ended(h.taken.destination(), o);
         }
-        kept.ended(o);
+        if (o.result() != Result.WITHHELD) {
+            kept.ended(o, System.currentTimeMillis());
+        }
         control.ended(loop.now(), o);
     }
 
+    /** What calls tell, which the decisions and the store have to hear. */
+    private final class Calls implements Endpoints.Told {
+        @Override
+        public void ended(Outcome o) {
+            Relay.this.ended(o);
+        }
+
+        @Override
+        public void unwritten(long id, int attempt) {
+            kept.unwritten(id, attempt);
+        }
+    }
+
     private void news(News news, Listed listed) {
         if (listed == null) {
             control.list(loop.now(), news, List.of());
@@ -490,10 +505,14 @@
 
     private void round() {
         fellows.refresh();
+        if (resting) {
+            endpoints.withhold(); // the next process finds them untried
+        } else {
+            endpoints.ask((id, attempt) -> control.mayGo(loop.now(), id, attempt));
+        }
         if (!resting && !unlisted) {
             control.decide(loop.now());
         }
-        long wall = System.currentTimeMillis();
         List<Planned> planned = new ArrayList<>();
         kept.note();
         for (Send s : sends) {
@@ -501,20 +520,23 @@
             if (h == null) {
                 continue; // a fault has ended it meanwhile
             }
-            int attempt = kept.called(s.id(), s.endpoint(), wall);
+            int attempt = kept.tries(s.id());
             planned.add(new Planned(s.endpoint(), new Item(s.id(), attempt, h.taken.requestId(), h.taken.key(),
                     h.taken.body(), s.timeoutMs(), h.deadlineAt, s.last())));
+            fellows.called(h.taken.destination(), attempt > 0);
         }
         sends.clear();
+        call(planned);
+        // What is noted may have run, and what is not surely has not: a call that has no connection yet is not.
+        long wall = System.currentTimeMillis();
+        endpoints.ready((endpoint, i) -> {
+            if (kept.get(i.id()) != null) {
+                kept.called(i.id(), i.attempt(), endpoint, wall);
+            }
+        });
         boolean written = kept.flush() || unwritten();
         kept.confirm();
-        planned.removeIf(p -> kept.get(p.item().id()) == null);
-        if (written) {
-            planned.forEach(p -> fellows.called(kept.get(p.item().id()).taken.destination(), p.item().attempt() > 0));
-            call(planned);
-        } else {
-            planned.forEach(this::notSent);
-        }
+        endpoints.write(id -> written && kept.get(id) != null);
         notices.flush();
         if (opening != null && notices.owed() == 0 && !unlisted) {
             opening.cancel();
@@ -530,7 +552,10 @@
         }
     }
 
-    /** The store does not take what this round brought: what came in it is refused, then it is tried again. */
+    /**
+     * The store does not take what this round brought: what came in it is refused, then it is tried again. Calls that
+     * it could not note are not made: after a restart nobody would know of them.
+     */
     private boolean unwritten() {
         for (Held h : kept.fresh()) {
             control.withdrawn(loop.now(), h.taken.id());
@@ -540,12 +565,6 @@
         return kept.flush();
     }
 
-    /** A call that the store could not note is not made: after a restart nobody would know of it. */
-    private void notSent(Planned p) {
-        loop.post(() -> ended(new Outcome(p.item().id(), p.item().attempt(), p.endpoint(), Result.NOT_SENT, 0, false,
-                0, Controller.Load.NONE)));
-    }
-
     /** Messages of one round to one endpoint travel together, as many as a call carries and a body holds. */
     private void call(List<Planned> planned) {
         Map<String, List<Item>> batches = new LinkedHashMap<>();
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -22,7 +22,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
+import java.util.function.LongPredicate;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
 
@@ -38,19 +40,35 @@
     private final Dialer dialer;
     private final Limits limits;
     private final Loop loop;
-    private final Consumer<Outcome> outcomes;
+    private final Told told;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final List<Call> calls = new ArrayList<>(); // out
+    private final List<Call> up = new ArrayList<>();    // of them, such that have a connection and are not written
 
     private record Idle(Link link, double since) { }
 
-    /** @param outcomes told how each message of a call ended */
-    public Endpoints(Dialer dialer, Limits limits, Loop loop, Consumer<Outcome> outcomes) {
+    /** Who hears of calls. */
+    public interface Told {
+        /** How a message of a call ended. */
+        void ended(Outcome outcome);
+
+        /** A message that was {@link #ready} has not been written: its connection was dead. It may be ready again. */
+        default void unwritten(long id, int attempt) { }
+    }
+
+    /** Who decides whether a message goes; see {@link firstair.control.Controller#mayGo}. */
+    public interface Decider {
+        /** Asked when the connection is there. */
+        boolean mayGo(long id, int attempt);
+    }
+
+    /** @param told hears how each message of a call ended */
+    public Endpoints(Dialer dialer, Limits limits, Loop loop, Told told) {
         this.dialer = dialer;
         this.limits = limits;
         this.loop = loop;
-        this.outcomes = outcomes;
+        this.told = told;
     }
 
     /** Forgets endpoints that are no longer listed; calls that are out to them go on. */
@@ -76,11 +94,46 @@
         return calls.size();
     }
 
-    /** Calls an endpoint with one message or several. */
+    /**
+     * Takes or opens a connection for a call with one message or several. It is written by the first {@link #write}
+     * for which the connection is there; if that is in a later round, {@link #ask} comes before.
+     */
     public void call(String endpoint, List<Item> items) {
         new Call(endpoint, items).start();
     }
 
+    /** Asks of all calls that have got their connection since they were asked for whether they may still go. */
+    public void ask(Decider decider) {
+        List.copyOf(up).forEach(c -> c.ask(decider));
+    }
+
+    /** Ends all calls of which nothing has been written, as such that never were. */
+    public void withhold() {
+        for (Call c : List.copyOf(calls)) {
+            if (!c.written) {
+                List.copyOf(c.items).forEach(c::withhold);
+            }
+        }
+    }
+
+    /** Names all that {@link #write} is about to write, by their endpoints. */
+    public void ready(BiConsumer<String, Item> each) {
+        up.forEach(c -> c.items.forEach(i -> each.accept(c.endpoint, i)));
+    }
+
+    /** Writes what is {@link #ready}, but for messages that could not be noted: those are not sent. */
+    public void write(LongPredicate noted) {
+        List<Call> all = List.copyOf(up);
+        up.clear();
+        for (Call c : all) {
+            try {
+                c.write(noted);
+            } catch (RuntimeException e) { // must not take the calls behind it along
+                LOG.log(Level.SEVERE, "fault under a call", e);
+            }
+        }
+    }
+
     /** Abandons the wait for one message; its call ends with its last message. */
     public void cancel(long id, int attempt) {
         for (Call c : List.copyOf(calls)) {
@@ -131,16 +184,18 @@
 
     private final class Call implements Link.Exchange {
         private final String endpoint;
+        private final InetSocketAddress to; // null if it left the list in the round that chose it
         private final List<Item> items;
-        private final Set<String> ids; // all that it was made with
-        private final boolean bundle;
         private final double startedAt = loop.now();
-        private final double latestAt; // by then its own timers have ended it
         private final List<Loop.Timer> timers = new ArrayList<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private Link link; // null until one carries it
-        private Link resting; // set aside for it, null once it is used
+        private Set<String> ids = Set.of(); // all that it was written with
+        private boolean bundle;             // it was written with several
+        private double latestAt; // by then its own timers have ended it
+        private Link link; // that carries it or is to, null until there is one
         private boolean fresh; // on a connection of its own making
+        private boolean noted; // somebody relies on it that what is not noted was not written
+        private boolean written;
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
         private volatile int first; // status of a first line that has come
@@ -148,70 +203,82 @@
 
         Call(String endpoint, List<Item> items) {
             this.endpoint = endpoint;
+            this.to = addresses.get(endpoint);
             this.items = new ArrayList<>(items);
-            this.ids = items.stream().map(Item::requestId).collect(Collectors.toSet());
-            this.bundle = items.size() > 1;
-            this.latestAt = startedAt + patience() + limits.haltMs() + limits.answerMs() + 2 * limits.sweepMs();
+            this.latestAt = latest(startedAt, patience(startedAt));
         }
 
-        private double patience() {
-            return items.stream().mapToDouble(Item::timeoutMs).max().orElse(0);
+        /** How long an answer to a request that is written now is waited for. */
+        private double patience(double now) {
+            return items.stream().mapToDouble(i -> Math.max(1, Math.min(i.timeoutMs(), i.deadlineAt() - now))).max()
+                    .orElse(0);
         }
 
-        void start() {
-            calls.add(this);
-            double patience = patience();
+        private double latest(double now, double patience) {
+            return now + patience + limits.haltMs() + limits.answerMs() + 2 * limits.sweepMs();
+        }
+
+        /** Ends it when its time is up, and each message when its own is. */
+        private void limit(double now, double patience) {
+            timers.forEach(Loop.Timer::cancel);
+            timers.clear();
+            latestAt = latest(now, patience);
             timers.add(loop.after(patience, this::expire));
-            for (Item i : items) {
+            for (Item i : items.size() > 1 ? items : List.<Item>of()) {
                 // Messages of a call share its fate, but none is waited for beyond its own time.
-                double left = i.deadlineAt() - startedAt;
-                if (bundle && left < patience) {
+                double left = i.deadlineAt() - now;
+                if (left < patience) {
                     timers.add(loop.after(left, () -> end(i, new Answers.End(Result.TIMEOUT, false), 0, Load.NONE)));
                 }
             }
-            InetSocketAddress to = addresses.get(endpoint);
-            if (to == null) { // it left the list in the round that chose it
+        }
+
+        void start() {
+            calls.add(this);
+            if (to == null) {
                 loop.post(() -> ended(Result.CONNECT_FAILED));
+            } else {
+                connect();
+            }
+        }
+
+        /** Takes a connection that is kept, or opens one. */
+        private void connect() {
+            if (over) {
                 return;
             }
-            byte[] request = request(patience, HostPort.of(to));
+            double now = loop.now();
             ArrayDeque<Idle> kept = idle.getOrDefault(endpoint, new ArrayDeque<>());
             Idle rests = null;
             for (Iterator<Idle> all = kept.descendingIterator(); all.hasNext();) {
                 Idle last = all.next();
-                if (startedAt - last.since() < limits.restMs()) {
+                if (now - last.since() < limits.restMs()) {
                     rests = last; // what is still to come behind its last answer must not be taken for the next one
                     continue;
                 }
                 all.remove();
-                if (last.link().send(request, this)) {
+                if (last.link().idle()) {
                     link = last.link();
+                    up.add(this);
                     return;
                 }
             }
+            limit(now, patience(now));
             if (rests == null) {
-                open(to, request);
+                open();
                 return;
             }
             // The rest is shorter than a handshake, and an endpoint may have no place for a further connection.
             kept.remove(rests);
-            resting = rests.link();
-            timers.add(loop.after(rests.since() + limits.restMs() - startedAt, () -> {
-                Link rested = resting;
-                resting = null;
-                if (rested.send(request, this)) {
-                    link = rested;
-                } else {
-                    open(to, request);
-                }
-            }));
+            link = rests.link();
+            timers.add(loop.after(rests.since() + limits.restMs() - now, () -> up.add(this)));
         }
 
-        private void open(InetSocketAddress to, byte[] request) {
+        private void open() {
             makeRoom();
             fresh = true;
             Link[] made = new Link[1];
-            link = dialer.open(to, limits.maxBody(), request, this, () -> loop.post(() -> forget(made[0])));
+            link = dialer.open(to, limits.maxBody(), null, this, () -> loop.post(() -> forget(made[0])));
             made[0] = link;
             timers.add(loop.after(limits.connectMs(), () -> {
                 if (link.connecting()) {
@@ -220,6 +287,60 @@
             }));
         }
 
+        @Override
+        public void up() {
+            loop.post(() -> {
+                if (!over) {
+                    up.add(this);
+                }
+            });
+        }
+
+        void ask(Decider decider) {
+            for (Item i : List.copyOf(items)) {
+                if (!decider.mayGo(i.id(), i.attempt())) {
+                    withhold(i);
+                }
+            }
+            if (!over && !to.equals(addresses.get(endpoint))) {
+                link.leave();
+                ended(Result.CONNECT_FAILED); // it has moved: another one may be there by now
+            }
+        }
+
+        /** Once noted, its number is taken: then it is an attempt that was not made. */
+        private void withhold(Item i) {
+            end(i, new Answers.End(noted ? Result.NOT_SENT : Result.WITHHELD, false), 0, Load.NONE);
+        }
+
+        /** Writes it, but for messages that could not be noted. */
+        void write(LongPredicate isNoted) {
+            for (Item i : List.copyOf(items)) {
+                if (!isNoted.test(i.id())) {
+                    end(i, new Answers.End(Result.NOT_SENT, false), 0, Load.NONE);
+                    loop.post(() -> { }); // decisions come in the next round
+                }
+            }
+            if (over) {
+                return;
+            }
+            noted = true;
+            bundle = items.size() > 1;
+            ids = items.stream().map(Item::requestId).collect(Collectors.toSet());
+            double now = loop.now();
+            double patience = patience(now);
+            written = link.send(request(patience, HostPort.of(to)), this);
+            if (written) {
+                limit(now, patience);
+                return;
+            }
+            bundle = false;
+            items.forEach(i -> told.unwritten(i.id(), i.attempt()));
+            if (!fresh) {
+                loop.post(this::connect); // one that it opened itself tells its end
+            }
+        }
+
         private byte[] request(double patience, String host) {
             String wait = String.valueOf((long) Math.ceil(patience));
             if (!bundle) {
@@ -292,10 +413,8 @@
                 ended(Result.RESET);
                 return;
             }
-            if (reusable && addresses.containsKey(endpoint)) {
-                idle.computeIfAbsent(endpoint, k -> new ArrayDeque<>()).addLast(new Idle(link, at));
-            } else if (reusable) {
-                link.leave();
+            if (reusable) {
+                keep(at);
             }
             double waitMs = Answers.waitMs(head);
             Load load = Answers.load(head);
@@ -339,9 +458,9 @@
             ended(link != null && link.leave() ? Result.TIMEOUT : Result.CONNECT_FAILED);
         }
 
-        /** What became of it is not known; it never ran only where it has no connection that came up. */
+        /** What became of it is not known; it never ran only where nothing of it was written. */
         private void outlived() {
-            boolean never = link == null || link.connecting();
+            boolean never = !written;
             if (link != null) {
                 link.leave();
             }
@@ -351,29 +470,41 @@
         void cancel(long id, int attempt) {
             for (Item i : List.copyOf(items)) {
                 if (i.id() == id && i.attempt() == attempt) {
-                    end(i, new Answers.End(Result.CANCELLED, false), 0, Load.NONE);
+                    end(i, new Answers.End(written ? Result.CANCELLED : Result.NOT_SENT, false), 0, Load.NONE);
                 }
             }
         }
 
-        private void end(Item i, Answers.End how, double waitMs, Load load) {
+        /** What comes before a request is written answers none: it delivers nothing, and nothing has run. */
+        private void end(Item i, Answers.End how, double wait, Load load) {
             if (!items.remove(i)) {
                 return;
             }
+            Result result = written || !how.result().maybeRan() ? how.result() : Result.CONNECT_FAILED;
             if (items.isEmpty()) {
                 over = true;
                 calls.remove(this);
+                up.remove(this);
                 timers.forEach(Loop.Timer::cancel);
-                if (resting != null) {
-                    resting.leave();
-                }
-                boolean given = how.result() == Result.TIMEOUT || how.result() == Result.CANCELLED;
-                if (given && link != null) {
+                boolean given = result == Result.TIMEOUT || result == Result.CANCELLED;
+                boolean unsent = !written && (result == Result.NOT_SENT || result == Result.WITHHELD);
+                if (unsent && link != null && link.keep()) {
+                    keep(loop.now() - limits.restMs()); // whole, and nothing is to come on it
+                } else if ((given || !written) && link != null) {
                     link.leave();
                 }
             }
-            outcomes.accept(new Outcome(i.id(), i.attempt(), endpoint, how.result(), loop.now() - startedAt,
-                    how.over(), waitMs, load));
+            told.ended(new Outcome(i.id(), i.attempt(), endpoint, result, loop.now() - startedAt,
+                    written && how.over(), wait, load));
+        }
+
+        /** Keeps its connection for a further call, if the endpoint is still there. */
+        private void keep(double since) {
+            if (to.equals(addresses.get(endpoint))) {
+                idle.computeIfAbsent(endpoint, k -> new ArrayDeque<>()).addLast(new Idle(link, since));
+            } else {
+                link.leave();
+            }
         }
 
         private void forget(Link closed) {
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -15,7 +15,7 @@
 final class HttpLink implements Link {
     private static final Logger LOG = Logger.getLogger(HttpLink.class.getName());
 
-    private enum Phase { CONNECTING, WRITING, WAITING, IDLE, CLOSED }
+    private enum Phase { CONNECTING, UP, WRITING, WAITING, IDLE, CLOSED } // UP: nothing has been sent on it yet
 
     private final HttpParser parser;
     private final Runnable closedIdle;
@@ -29,7 +29,7 @@
     private boolean begun;
     private boolean halted;
 
-    /** Opens a connection and sends a first request on it; see {@link Dialer#open}. */
+    /** Opens a connection, and sends a first request on it if there is one; see {@link Dialer#open}. */
     HttpLink(Wire wire, int maxHead, InetSocketAddress to, long maxBody, byte[] request, Exchange first,
             Runnable closedIdle) {
         this.parser = new HttpParser(HttpParser.Kind.ANSWER, maxHead, maxBody, new Answer());
@@ -76,12 +76,20 @@
         }
         connection = c;
         LinkFilter.LINK.set(c, this);
-        write(request);
+        if (request != null) {
+            write(request);
+            return;
+        }
+        phase = Phase.UP;
+        exchange.up();
     }
 
     @Override
     public synchronized boolean send(byte[] request, Exchange next) {
-        if (phase != Phase.IDLE || !connection.isOpen()) {
+        if (phase == Phase.UP && (begun || !connection.isOpen())) {
+            fail(false); // what has come answers no request, and an end before we knew the connection was not told
+        }
+        if (phase != Phase.UP && !idle()) {
             return false;
         }
         exchange = next;
@@ -90,6 +98,20 @@
         return true;
     }
 
+    @Override
+    public synchronized boolean idle() {
+        return phase == Phase.IDLE && connection.isOpen();
+    }
+
+    @Override
+    public synchronized boolean keep() {
+        if (phase == Phase.UP && !begun) {
+            phase = Phase.IDLE;
+            exchange = null;
+        }
+        return idle();
+    }
+
     @Override
     public synchronized boolean connecting() {
         return phase == Phase.CONNECTING;
--- a/src/main/java/firstair/relay/net/Link.java
+++ b/src/main/java/firstair/relay/net/Link.java
@@ -12,6 +12,12 @@
      * come from the selector's thread or from the thread that sends, and must not block.
      */
     interface Exchange {
+        /**
+         * The connection is up and nothing has been sent on it: opened without a request. What comes of it until one
+         * is sent is told here, too.
+         */
+        default void up() { }
+
         /** Something of an answer has come, and not yet all of it. */
         default void begun() { }
 
@@ -39,9 +45,21 @@
         void broken(boolean maybeArrived);
     }
 
-    /** Sends a further request; false if the connection has ended meanwhile, and then nothing more is told of it. */
+    /**
+     * Sends a request; false if the connection has ended meanwhile. Then nothing more is told of it, but for the
+     * exchange that it was opened for, which hears that it broke.
+     */
     boolean send(byte[] request, Exchange next);
 
+    /** Whether it has carried a request, waits for the next one and has not ended, as far as is known. */
+    boolean idle();
+
+    /**
+     * Sends nothing on a connection that is up: it stands idle from now on. False if it has ended, is not up yet or
+     * something has come on it, and then nothing has been done.
+     */
+    boolean keep();
+
     /** Whether the connection has not come up yet. */
     boolean connecting();
 
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -186,6 +186,12 @@
         pending.writeBytes(Records.taken(t));
     }
 
+    /** Calls of a message that have been noted, -1 if the message is over. */
+    public int tries(long id) {
+        Open o = open.get(id);
+        return o == null ? -1 : o.tries.size();
+    }
+
     /** A call is about to be written; returns its number among the calls of the message. */
     public int called(long id, String endpoint, long sentAt) {
         Open o = open.get(id);
@@ -199,10 +205,10 @@
         return o.tries.size() - 1;
     }
 
-    /** A call has ended. */
+    /** What is known of a call by now. */
     public void ended(long id, int attempt, boolean maybeRan) {
         Open o = open.get(id);
-        if (o != null) {
+        if (o != null && attempt < o.tries.size()) {
             Tried t = o.tries.get(attempt);
             o.tries.set(attempt, new Tried(t.endpoint(), t.sentAt(), maybeRan));
             pending.writeBytes(Records.ended(id, attempt, maybeRan));
--- a/src/test/java/firstair/control/Bench.java
+++ b/src/test/java/firstair/control/Bench.java
@@ -121,6 +121,16 @@
                 result == Result.OK, waitMs, load));
     }
 
+    /** Its connection is there: it goes now, or it never was. */
+    boolean up(Sent s) {
+        if (control.mayGo(now, s.id(), s.attempt())) {
+            return true;
+        }
+        end(s, Result.WITHHELD, 0);
+        tries.merge(s.id(), -1, Integer::sum);
+        return false;
+    }
+
     /** Ends all that is out in the same way. */
     void endAll(Result result, double waitMs) {
         new ArrayList<>(out).forEach(s -> end(s, result, waitMs));
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -9,6 +9,8 @@
 import firstair.kit.standin.StandIn;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
@@ -247,6 +249,43 @@
         assertThat(call().header("request-id")).isEqualTo("m1");
     }
 
+    /** Nobody accepts there and the queue is full: connections neither come up nor are refused. */
+    private static ServerSocket full(List<Socket> waiting) throws IOException {
+        ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        for (int i = 0; i < 3; i++) {
+            Socket s = new Socket();
+            waiting.add(s);
+            try {
+                s.connect(server.getLocalSocketAddress(), 200);
+            } catch (IOException e) {
+                // full by now
+            }
+        }
+        return server;
+    }
+
+    /** Killed while the relay dials: what is not noted has surely not run, and an unsafe message may still go. */
+    @Test
+    void anUnsafeMessageWhoseCallDialedAtAKillIsSentByTheNextProcess() throws Exception {
+        List<Socket> waiting = new ArrayList<>();
+        try (ServerSocket full = full(waiting)) {
+            platform.down(true); // the next process must not hear of the old place
+            node.known(Platform.list(1, true, "s1 8 127.0.0.1:" + full.getLocalPort()));
+            node.start();
+            assertThat(node.handIn("m1", "unsafe", 20_000, "dest=8", null, new byte[1])).contains(" 202 ");
+            node.kill();
+            node.known(Platform.list(2, true, "s1 8 " + partner.hostPort()));
+            node.start();
+            assertThat(node.line("ready")).contains("1 messages and 0 notices");
+            assertThat(call().header("request-id")).isEqualTo("m1");
+            assertThat(platform.notices).isEmpty();
+        } finally {
+            for (Socket s : waiting) {
+                s.close();
+            }
+        }
+    }
+
     /** The signal's thread waits for the relay's end, also where its start has failed. */
     @Test
     void anAddressThatIsTakenEndsTheStartWithOneLine() throws Exception {
--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -41,13 +41,18 @@
     private final List<AutoCloseable> open = new ArrayList<>();
     private Loop loop;
     private Wire wire;
-    private Endpoints endpoints;
+    private volatile Endpoints endpoints;
 
     @BeforeEach
     void start() throws IOException {
         Limits limits = ShortTimes.ofCalls(HALT_MS, 500, IDLE_MS, 2);
         wire = new Wire(limits);
-        loop = LoopThread.start(() -> { });
+        loop = LoopThread.start(() -> {
+            if (endpoints != null) {
+                endpoints.ask((id, attempt) -> true);
+                endpoints.write(id -> true);
+            }
+        });
         endpoints = new Endpoints(wire, limits, loop, outcomes::add);
     }
 
--- a/src/test/java/firstair/relay/standin/FaultyDialer.java
+++ b/src/test/java/firstair/relay/standin/FaultyDialer.java
@@ -50,6 +50,16 @@
                 return false;
             }
 
+            @Override
+            public boolean idle() {
+                return false;
+            }
+
+            @Override
+            public boolean keep() {
+                return false;
+            }
+
             @Override
             public boolean connecting() {
                 return true;
