A wait binds from its header line on and once, whatever becomes of its answer

Cause: Endpoints told a wait with the outcome only. An answer whose head or body breaks off, never ends or is spoilt kept its wait to itself for up to answerMs (0.2 s, calls are let through for 0.1 s behind its writing), a head that never ends forever, and Control.ended counted it from its own now: what had come late bound for too long, too. For each message of a call another chance was drawn, and the longest one held.

Change: HttpParser tells each whole header line of an answer, the call posts a wait as soon as its line is whole, with the moment at which it was read, and Controller.waits binds the unit from then; the outcome of the same call adds nothing any more. It holds for calls that are given up, halted or cancelled by then, and for bundles. A smaller wait behind a larger one changes nothing; half a line tells none. Hosts that tell waits with outcomes alone (the simulator) are decided as before, with the same draws.

Ruled out: bytes that are unread when a call is timed out, since a time-out halts first and reads on for haltMs; nothing cancels a call that is out.

Measured: without the telling 6 tests of LateCallsTest and aWaitIsKeptThoughTheRestOfItsAnswerIsSpoilt fail, without Control.waits 4 of LateConnectionTest (it binds at once; from its head and once; of a call that is over; of several).

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -114,7 +114,7 @@
         int items, open;
         boolean trial, judged;
         Lane lane;                          // what was booked for it
-        boolean kept, stood;                // on a connection that has carried calls before; idle for long
+        boolean kept, stood, heard;         // on a used connection; one idle for long; its wait binds by now
     }
 
     private record Attempt(Msg m, Call call) { }
@@ -346,6 +346,18 @@
         return true;
     }
 
+    @Override public void waits(double now, String endpoint, long id, int attempt, double waitMs) {
+        Attempt a = attempts.get(key(id, attempt));
+        if (a != null) { a.call.heard = true; }
+        if (endpoints.containsKey(endpoint)) { bind(now, endpoints.get(endpoint).unit, waitMs); }
+    }
+
+    /** A wait binds whichever message learned it; when it is over, chance spreads the relays. */
+    private void bind(double now, Unit u, double waitMs) {
+        double spread = part(now, u) < SELDOM ? SELDOM_SPREAD_MS : SPREAD_MS;
+        u.waitUntil = Math.max(u.waitUntil, now + waitMs + 1 + random.nextDouble() * spread);
+    }
+
     @Override public void ended(double now, Outcome o) {
         Attempt a = attempts.remove(key(o.id(), o.attempt()));
         if (a == null) { return; }
@@ -375,12 +387,7 @@
         }
         e.unit.heard = true;
         if (!Double.isNaN(o.load().limitPerS())) { e.unit.limit = o.load().limitPerS(); }
-        if (o.waitMs() > 0) {
-            // A wait binds whichever message learned it; when it is over, chance spreads the relays.
-            double spread = part(now, e.unit) < SELDOM ? SELDOM_SPREAD_MS : SPREAD_MS;
-            double until = now + o.waitMs() + 1 + random.nextDouble() * spread;
-            e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
-        }
+        if (o.waitMs() > 0 && !c.heard) { bind(now, e.unit, o.waitMs()); }
         // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows
         // it; of time-outs only many, where none failed before. Failed connects do count.
         double usual = usual(m.dest, m.type);
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -161,6 +161,12 @@
     /** An attempt ended. */
     void ended(double now, Outcome outcome);
 
+    /**
+     * A wait was read at {@code now} in an answer to an attempt, before its end; the attempt may be over by now. The
+     * wait of its outcome is the same one.
+     */
+    default void waits(double now, String endpoint, long id, int attempt, double waitMs) { }
+
     /** The answer to an attempt of a streamed class has begun. */
     void begun(double now, long id, int attempt);
 
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -466,6 +466,11 @@
             Relay.this.ended(o);
         }
 
+        @Override
+        public void waits(double at, String endpoint, long id, int attempt, double waitMs) {
+            control.waits(at, endpoint, id, attempt, waitMs);
+        }
+
         @Override
         public void unwritten(long id, int attempt) {
             kept.unwritten(id, attempt);
--- a/src/main/java/firstair/relay/endpoints/Answers.java
+++ b/src/main/java/firstair/relay/endpoints/Answers.java
@@ -10,6 +10,9 @@
 
 /** What endpoints' answers mean in the field's words. */
 final class Answers {
+    /** The header that tells a wait. */
+    static final String WAIT = "retry-after";
+
     private static final double MS_PER_S = 1000;
 
     /** How an attempt ended, and whether the message ended with it. */
@@ -61,10 +64,12 @@
 
     /** The wait that an answer tells, in milliseconds, 0 if none. */
     static double waitMs(Head head) {
-        String text = head.header("retry-after");
-        if (text == null) {
-            return 0;
-        }
+        String text = head.header(WAIT);
+        return text == null ? 0 : waitMs(text);
+    }
+
+    /** The wait that one line of the header {@link #WAIT} tells, in milliseconds, 0 if none. */
+    static double waitMs(String text) {
         try {
             double s = Double.parseDouble(text);
             return s > 0 && s < Integer.MAX_VALUE ? s * MS_PER_S : 0;
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -53,6 +53,9 @@
         /** How a message of a call ended. */
         void ended(Outcome outcome);
 
+        /** A wait was read at a moment, of an answer that may never be whole, to a call with such an attempt. */
+        default void waits(double at, String endpoint, long id, int attempt, double waitMs) { }
+
         /** A message that was {@link #ready} has not been written: its connection was dead. It may be ready again. */
         default void unwritten(long id, int attempt) { }
     }
@@ -186,6 +189,7 @@
         private final String endpoint;
         private final InetSocketAddress to; // null if it left the list in the round that chose it
         private final List<Item> items;
+        private final Item lead;
         private final double startedAt = loop.now();
         private final List<Loop.Timer> timers = new ArrayList<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -198,13 +202,17 @@
         private boolean written;
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
+        private double toldMs; // the wait that has been told on
         private volatile int first; // status of a first line that has come
         private volatile Head head;
+        private volatile double waitAt; // when the wait was read
+        private volatile double waitMs; // longest wait that a whole line told
 
         Call(String endpoint, List<Item> items) {
             this.endpoint = endpoint;
             this.to = addresses.get(endpoint);
             this.items = new ArrayList<>(items);
+            this.lead = items.get(0);
             this.latestAt = latest(startedAt, patience(startedAt));
         }
 
@@ -378,6 +386,26 @@
             first = status;
         }
 
+        /** A wait binds from when it was read, whatever becomes of the rest of its answer or of the call. */
+        @Override
+        public void field(String name, String value) {
+            double ms = name.equals(Answers.WAIT) ? Answers.waitMs(value) : 0;
+            if (ms > waitMs) {
+                waitAt = loop.now();
+                waitMs = ms;
+                loop.post(this::tellWait);
+            }
+        }
+
+        private void tellWait() {
+            double ms = waitMs;
+            if (ms > toldMs) {
+                toldMs = ms;
+                Item of = items.isEmpty() ? lead : items.get(0);
+                told.waits(waitAt, endpoint, of.id(), of.attempt(), ms);
+            }
+        }
+
         @Override
         public void head(Head h) {
             head = h;
@@ -433,8 +461,8 @@
             }
             boolean delivered = first == DELIVERED && !bundle;
             for (Item i : List.copyOf(items)) {
-                end(i, delivered ? new Answers.End(Result.OK, true) : new Answers.End(result, false),
-                        head == null ? 0 : Answers.waitMs(head), head == null ? Load.NONE : Answers.load(head));
+                end(i, delivered ? new Answers.End(Result.OK, true) : new Answers.End(result, false), waitMs,
+                        head == null ? Load.NONE : Answers.load(head));
             }
         }
 
@@ -480,6 +508,7 @@
             if (!items.remove(i)) {
                 return;
             }
+            tellWait(); // before its outcome
             Result result = written || !how.result().maybeRan() ? how.result() : Result.CONNECT_FAILED;
             if (items.isEmpty()) {
                 over = true;
--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -18,6 +18,9 @@
         /** The first line of an answer that is no interim one: so much is sure, whatever follows. */
         default void first(int status) { }
 
+        /** A header line of an answer that is no interim one, its name in lower case: sure, whatever follows. */
+        default void field(String name, String value) { }
+
         /** Start line and headers are there. */
         void head(Head head) throws HttpException;
 
@@ -208,8 +211,12 @@
         if (colon <= 0 || !token(text.substring(0, colon))) {
             throw new HttpException(400, "malformed header field");
         }
-        headers.merge(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).trim(),
-                (a, b) -> a + "," + b);
+        String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
+        String value = text.substring(colon + 1).trim();
+        headers.merge(name, value, (a, b) -> a + "," + b);
+        if (kind == Kind.ANSWER && start[1].charAt(0) != '1') {
+            sink.field(name, value);
+        }
     }
 
     private boolean headDone() throws HttpException {
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -249,6 +249,11 @@
             exchange.first(status);
         }
 
+        @Override
+        public void field(String name, String value) {
+            exchange.field(name, value);
+        }
+
         @Override
         public void head(Head h) {
             head = h;
--- a/src/main/java/firstair/relay/net/Link.java
+++ b/src/main/java/firstair/relay/net/Link.java
@@ -24,6 +24,9 @@
         /** The answer's first line says so, whatever follows it. */
         default void first(int status) { }
 
+        /** A header line of the answer is whole, whatever follows it; the name in lower case. */
+        default void field(String name, String value) { }
+
         /** Start line and headers of the answer. */
         void head(Head head);
 
--- a/src/test/java/firstair/control/LateConnectionTest.java
+++ b/src/test/java/firstair/control/LateConnectionTest.java
@@ -5,7 +5,9 @@
 import firstair.control.Bench.Sent;
 import firstair.control.Controller.Kind;
 import firstair.control.Controller.Listing;
+import firstair.control.Controller.Load;
 import firstair.control.Controller.News;
+import firstair.control.Controller.Outcome;
 import firstair.control.Controller.Result;
 import java.util.List;
 import java.util.Set;
@@ -221,4 +223,65 @@
         b.silence(1_000);
         assertThat(b.sent).hasSize(2);
     }
+
+    // ---- waits ----
+
+    private static double opens(Bench b) {
+        b.take(0, 1);
+        int before = b.sent.size();
+        while (b.sent.size() == before) {
+            b.now += 1;
+            b.control.timer(b.now);
+            b.decide();
+        }
+        return b.now;
+    }
+
+    /** The answer breaks off 900 ms after its head: the wait ends when the head said, not as long after the break. */
+    @Test
+    void aWaitBindsFromItsHeadAndOnce() {
+        Bench b = dialing(Bench.SAFE);
+        double head = b.now + 10;
+        b.now = head + 5;
+        b.control.waits(head, A, first(b).id(), 0, 1_000);
+        b.take(0, 1);
+        b.decide();
+        assertThat(b.sent).as("it binds at once").hasSize(1);
+        b.now = head + 900;
+        b.end(first(b), Result.RESET, 1_000);
+        assertThat(opens(b)).isBetween(head + 1_000, head + 1_000 + 60);
+    }
+
+    @Test
+    void aWaitOfACallThatIsOverBinds() {
+        Bench b = dialing(Bench.SAFE);
+        b.end(first(b), Result.CANCELLED, 0);
+        b.control.waits(b.now, A, first(b).id(), 0, 700);
+        double from = b.now;
+        assertThat(opens(b)).isGreaterThanOrEqualTo(from + 700);
+    }
+
+    @Test
+    void aSmallerWaitAfterALargerOneChangesNothing() {
+        Bench b = dialing(Bench.SAFE);
+        double from = b.now;
+        b.control.waits(from, A, first(b).id(), 0, 1_000);
+        b.control.waits(from + 10, A, first(b).id(), 0, 100);
+        assertThat(opens(b)).isBetween(from + 1_000, from + 1_060);
+    }
+
+    @Test
+    void ofSeveralInACallEachTellsTheSameWait() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 4), 16, Bench.SAFE)).endpoints(A);
+        b.take(0, 1);
+        b.take(0, 1);
+        b.decide();
+        double head = b.now;
+        b.control.waits(head, A, first(b).id(), 0, 500);
+        b.now += 300;
+        for (Sent s : List.copyOf(b.sent)) {
+            b.control.ended(b.now, new Outcome(s.id(), s.attempt(), A, Result.ERROR, 300, false, 500, Load.NONE));
+        }
+        assertThat(opens(b)).isBetween(head + 500, head + 560);
+    }
 }
--- a/src/test/java/firstair/relay/endpoints/LateCallsTest.java
+++ b/src/test/java/firstair/relay/endpoints/LateCallsTest.java
@@ -30,13 +30,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** What may have changed while a call got its connection. */
+/** What may have changed while a call got its connection, and waits in answers that are never whole. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class LateCallsTest {
     private static final double LONG_MS = 20_000;
     private static final double CONNECT_MS = 2_000;
 
+    private record Wait(double at, double ms, double heardAt, int outcomesBefore) { }
+
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Wait> waits = new LinkedBlockingQueue<>();
     private final BlockingQueue<StandIn.Request> calls = new LinkedBlockingQueue<>();
     private final BlockingQueue<Long> unwritten = new LinkedBlockingQueue<>();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -66,6 +69,11 @@
                 outcomes.add(o);
             }
 
+            @Override
+            public void waits(double at, String endpoint, long id, int attempt, double waitMs) {
+                waits.add(new Wait(at, waitMs, loop.now(), outcomes.size()));
+            }
+
             @Override
             public void unwritten(long id, int attempt) {
                 unwritten.add(id);
@@ -334,6 +342,77 @@
         assertThat(outcomes).isEmpty();
     }
 
+    // ---- waits ----
+
+    private Wait wait(String answer) throws Exception {
+        endpoint(r -> r.write(answer.replace("\\n", "\r\n").getBytes(StandardCharsets.US_ASCII)));
+        call(1);
+        Wait w = next(waits);
+        assertThat(w.ms()).isEqualTo(500);
+        assertThat(w.outcomesBefore()).as("told before the call's end").isZero();
+        assertThat(w.at()).isLessThanOrEqualTo(w.heardAt());
+        Outcome o = next();
+        assertThat(o.waitMs()).isEqualTo(500);
+        settle();
+        assertThat(waits).as("told once").isEmpty();
+        return w;
+    }
+
+    @Test
+    void aWaitIsToldThoughTheBodyNeverComes() throws Exception {
+        wait("HTTP/1.1 503 x\\nRetry-After: 0.5\\nContent-Length: 9\\n\\nab");
+    }
+
+    @Test
+    void aWaitIsToldThoughTheHeadNeverEnds() throws Exception {
+        wait("HTTP/1.1 429 x\\nRetry-After: 0.5\\nServer-");
+    }
+
+    @Test
+    void aWaitIsToldThoughTheBodyIsNoise() throws Exception {
+        wait("HTTP/1.1 429 x\\nRetry-After: 0.5\\nTransfer-Encoding: chunked\\n\\nnoise\\n");
+    }
+
+    @Test
+    void aWaitOfAWholeAnswerIsToldOnce() throws Exception {
+        wait("HTTP/1.1 429 x\\nRetry-After: 0.5\\nContent-Length: 0\\n\\n");
+    }
+
+    /** It may have said 0.5 or 0.54321: what is not a whole line says nothing. */
+    @Test
+    void halfALineTellsNoWait() throws Exception {
+        endpoint(r -> {
+            r.write("HTTP/1.1 503 x\r\nRetry-After: 0.5".getBytes(StandardCharsets.US_ASCII));
+            r.reset();
+        });
+        call(1);
+        assertThat(next().waitMs()).isZero();
+        settle();
+        assertThat(waits).isEmpty();
+    }
+
+    @Test
+    void aWaitOfACallThatIsGivenUpBehindItsHeadIsTold() throws Exception {
+        endpoint(r -> r.write("HTTP/1.1 503 x\r\nRetry-After: 0.5\r\n".getBytes(StandardCharsets.US_ASCII)));
+        call(1);
+        assertThat(next(waits).ms()).isEqualTo(500);
+        loop.post(() -> endpoints.cancel(1, 0));
+        assertThat(next().id()).isEqualTo(1);
+        settle();
+        assertThat(waits).isEmpty();
+    }
+
+    @Test
+    void aWaitForSeveralIsToldOnce() throws Exception {
+        endpoint(r -> r.answer(200, "r1 ok\r\nr2 later\r\n".getBytes(StandardCharsets.US_ASCII), "Retry-After: 0.5"));
+        call(1, 2);
+        assertThat(next(waits).outcomesBefore()).isZero();
+        next();
+        next();
+        settle();
+        assertThat(waits).isEmpty();
+    }
+
     // ---- a kept connection that is found dead ----
 
     @Test
--- a/src/test/java/firstair/relay/standin/GateDialer.java
+++ b/src/test/java/firstair/relay/standin/GateDialer.java
@@ -60,6 +60,11 @@
                 first.first(status);
             }
 
+            @Override
+            public void field(String name, String value) {
+                first.field(name, value);
+            }
+
             @Override
             public void head(Head head) {
                 first.head(head);
