Look at what has come before a client makes room for another

Cause, by reading and then forced on sockets: ClientFilter.makeRoom closed the connection that is missed least from the accept path without looking whether its request waits unread. A close over unread bytes resets the connection, and that request had no answer. The same held for clients that had connected and not been served: told to end, or at the end of the process, they were just closed (leaveUnlessAsked, endNow), and a first request on its way found nothing.

Change: a connection yields only after a last look; a request that has come whole is answered first and another one makes room. A part of a request, or a first one that may be on its way, is answered 503 before the close; only who has been served before just ends between two requests, which the protocol lets the client send again.

Without it ClosingTest fails: aRequestThatCrossesTheMakingOfRoomIsAnswered (3 of 3, no answer for 202), noRoomIsMadeAtTheExpenseOfARequestThatIsOwed- AnAnswer (time-out), whoMakesRoomIsTold (3 of 4, end for 503), and aRequestThatCrossesAnEndHasOneAnswerOrIsNotRead (3 of 4: JUST_CONNECTED and SILENT end with no answer). Refuted and held by tests: a refused client that makes room loses its answer by the reset (it reads 400, then the end); TCP_NODELAY missing on accepted or dialled connections (both have it); an answer lost when the process ends before it is read.

--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -286,11 +286,19 @@
         last = true;
         look();
         if (phase == Phase.OPEN && !answering) {
-            if (parser.between()) {
-                close();
-            } else {
-                turnAway(503);
-            }
+            endUnasked();
+        }
+    }
+
+    /**
+     * Ends it while no whole request is there. Between two requests it just closes, and one that crosses that is sent
+     * again. A part of one, or a first one that may be on its way, is owed an answer.
+     */
+    private void endUnasked() {
+        if (served && parser.between()) {
+            close();
+        } else {
+            turnAway(503);
         }
     }
 
@@ -304,7 +312,7 @@
 
     private synchronized void leaveUnlessAsked() {
         if (phase == Phase.OPEN && !answering && parser.between() && !look()) {
-            close();
+            endUnasked();
         }
     }
 
@@ -375,6 +383,22 @@
         return !parser.between() ? 0 : served ? 2 : 1;
     }
 
+    /**
+     * Ends it at once, for another one's sake; on the selector's thread. False if its request has come meanwhile: that
+     * is answered first.
+     */
+    synchronized boolean yields() {
+        look();
+        if (phase == Phase.OPEN && answering) {
+            return false;
+        }
+        if (phase == Phase.OPEN) {
+            endUnasked();
+        }
+        close(); // what it was told is with the system
+        return true;
+    }
+
     /** Since when it has been as it is. */
     synchronized double since() {
         return phase == Phase.ENDING ? endingSince : quietSince;
--- a/src/main/java/firstair/relay/clients/ClientFilter.java
+++ b/src/main/java/firstair/relay/clients/ClientFilter.java
@@ -45,6 +45,20 @@
 
     /** Closes the connection that is missed least; hundreds that say nothing must not keep out those who would. */
     private boolean makeRoom() {
+        for (int tries = open.size(); tries > 0; tries--) {
+            ClientConnection least = least();
+            if (least == null) {
+                return false;
+            }
+            if (least.yields()) {
+                open.remove(least);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private ClientConnection least() {
         double now = desk.now();
         ClientConnection least = null;
         int most = 0;
@@ -55,11 +69,7 @@
                 most = spare;
             }
         }
-        if (least != null) {
-            least.close();
-            open.remove(least);
-        }
-        return least != null;
+        return least;
     }
 
     @Override
