Bound what a client can take that sends on or never reads

Cause, each forced on sockets: - received() closed a connection whose backlog passed maxHead although an answer was owed: the hand-in was dropped or taken with nobody told. - answer() wrote without end to a client that reads nothing; the answers piled up in the library's queue, and closeSilently waits for that queue: the descriptor was never given back. - Hundreds of small requests behind a hand-in (16 KiB) were answered in one go on the loop's thread.

Change: past the backlog the owed answer is given and is the last; an answer due while an earlier one is not with the system ends the connection, and ends do not wait for the queue; more than 16 requests ahead of their turn make the next answer the last; a look reads as much as a request may have.

Without it ClosingTest fails, one test each: whoSendsOnAndOnGetsTheAnswer- ThatIsOwed (gone), whoAsksAndNeverReadsIsEnded (not within 30 s, also with closeSilently alone), whoSendsManyRequestsAtOnceIsAnsweredForAFewAndTold (time-out), whoSendsForEverWhileItIsLookedAtHoldsUpNobody (1,067,646,976 bytes read before the next client's turn; some MB now).

--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -20,6 +20,7 @@
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     private static final double MS_PER_S = 1000;
     private static final int ID_CHARS = 128;
+    private static final int AHEAD = 16; // requests sent before their turn; clients send one at a time
     private static final byte[] NOTHING = new byte[0];
     private static final String BOOKINGS = "/-/bookings/";
     private static final Set<String> ASKED = Set.of("GET", "PUT", "DELETE");
@@ -40,6 +41,8 @@
     private double quietSince;     // connected, or last answer
     private double begunAt;        // connected, or first byte of the request that is being read
     private double endingSince;
+    private int unsent;            // writes that are not with the system yet
+    private int ahead;             // requests behind which more had come already
     private long discarded;        // bytes that came after a refusal
 
     /** @param crowded whether clients hold so many connections that none is to be kept without need */
@@ -55,7 +58,7 @@
             public void head(Head h) {
                 super.head(h);
                 if (h.lists("expect", "100-continue")) {
-                    write(HttpWriter.answer(100).bare());
+                    write(HttpWriter.answer(100).bare(), () -> { });
                 }
             }
 
@@ -90,7 +93,8 @@
             } else if (backlog.length + bytes.length <= limits.maxHead()) {
                 backlog = joined(backlog, bytes);
             } else {
-                close();
+                last = true; // it sends on and on without waiting: the answer that is owed it gets, and no other
+                backlog = NOTHING;
             }
         } catch (RuntimeException e) {
             LOG.log(Level.SEVERE, "fault in a request", e);
@@ -112,6 +116,8 @@
                     begunAt = desk.now();
                 }
                 at += parser.feed(bytes, at, bytes.length - at);
+                // Hundreds fit into one read, and all others would wait while they are answered.
+                last |= at < bytes.length && ++ahead > AHEAD;
             }
             if (at < bytes.length) {
                 backlog = joined(Arrays.copyOfRange(bytes, at, bytes.length), backlog);
@@ -215,6 +221,10 @@
         if (phase != Phase.OPEN || !answering) {
             return;
         }
+        if (unsent > 0) {
+            close(); // it asks and does not read: its answers would fill the memory
+            return;
+        }
         // Clients that ask once and stay, or open one for each request, would take all that clients may have.
         boolean close = last || draining || crowded.getAsBoolean();
         HttpWriter w = HttpWriter.answer(status);
@@ -240,10 +250,10 @@
         if (close) {
             phase = Phase.ENDING;
             endingSince = quietSince;
-            Wire.write(connection, bytes, this::finish, this::close);
+            write(bytes, this::finish);
             return;
         }
-        write(bytes);
+        write(bytes, () -> { });
         byte[] rest = backlog;
         backlog = NOTHING;
         if (rest.length > 0) {
@@ -251,8 +261,16 @@
         }
     }
 
-    private void write(byte[] bytes) {
-        Wire.write(connection, bytes, () -> { }, this::close);
+    private void write(byte[] bytes, Runnable then) {
+        unsent++;
+        Wire.write(connection, bytes, () -> {
+            sent();
+            then.run();
+        }, this::close);
+    }
+
+    private synchronized void sent() {
+        unsent--;
     }
 
     /**
@@ -316,18 +334,21 @@
         }
     }
 
-    /** Reads what has come and has not been read; false if nothing has. */
+    /**
+     * Reads what has come and has not been read, as much as a request may have; false if nothing has. From one that
+     * sends for ever it could go on for ever, and all others would wait.
+     */
     private boolean look() {
-        boolean came = false;
-        while (phase == Phase.OPEN && !answering) {
+        int came = 0;
+        while (phase == Phase.OPEN && !answering && came <= limits.maxHead() + limits.maxBody()) {
             byte[] bytes = Wire.unread(connection, limits.readBuffer());
             if (bytes.length == 0) {
                 break;
             }
-            came = true;
+            came += bytes.length;
             received(bytes);
         }
-        return came;
+        return came > 0;
     }
 
     /** Answers with a status and ends, whatever it may want. */
@@ -414,9 +435,10 @@
         return phase != Phase.OPEN;
     }
 
+    /** Ends it at once: who does not read its answers must not keep its place until they are written. */
     synchronized void close() {
         phase = Phase.CLOSED;
-        connection.closeSilently();
+        connection.terminateSilently();
     }
 
     synchronized void closed() {
--- a/src/test/java/firstair/relay/clients/ClosingTest.java
+++ b/src/test/java/firstair/relay/clients/ClosingTest.java
@@ -422,6 +422,109 @@
         }
     }
 
+    // ---- floods ----
+
+    /** It is read on while its request waits, far beyond what is kept of it: what is owed is answered all the same. */
+    @Test
+    void whoSendsOnAndOnGetsTheAnswerThatIsOwed() throws Exception {
+        serve(0);
+        desk.holding = true;
+        try (Socket s = client()) {
+            String all = WHOLE + ASK.repeat(5 * limits.maxHead() / ASK.length());
+            send(s, all);
+            Await.until("all read", () -> read.get() >= all.length() || closed.get() > 0);
+            HandIn h = desk.waiting.take();
+            assertThat(h.gone()).isFalse();
+            h.answer(202, 0);
+            assertThat(answers(s)).containsExactly("202");
+        }
+    }
+
+    /** Hundreds of small requests behind one that waits: while they are answered in one go, all others would wait. */
+    @Test
+    void whoSendsManyRequestsAtOnceIsAnsweredForAFewAndTold() throws Exception {
+        serve(0);
+        desk.holding = true;
+        try (Socket s = client()) {
+            send(s, WHOLE + ASK.repeat(500));
+            desk.waiting.take().answer(202, 0);
+            int answers = 0;
+            String head;
+            do {
+                head = head(s);
+                answers++;
+            } while (!head.isEmpty() && !head.contains("Connection: close"));
+            assertThat(head).contains("Connection: close");
+            assertThat(answers).isLessThan(20);
+            assertThat(answers(s)).isEmpty();
+        }
+    }
+
+    /** Its answers would fill the memory, and its connection stay until it has read them. */
+    @Test
+    void whoAsksAndNeverReadsIsEnded() throws Exception {
+        serve(0);
+        try (Socket s = new Socket()) {
+            s.setReceiveBufferSize(4096);
+            s.connect(address);
+            NIOConnection c = (NIOConnection) accepted.take();
+            ((SocketChannel) c.getChannel()).setOption(StandardSocketOptions.SO_SNDBUF, 4096);
+            int most = 0;
+            try {
+                for (int i = 1; i < 20_000 && closed.get() == 0; i++) {
+                    send(s, ASK);
+                    long sent = (long) i * ASK.length();
+                    Await.until("read", () -> read.get() == sent || closed.get() > 0);
+                    most = Math.max(most, c.getAsyncWriteQueue().size());
+                }
+            } catch (IOException e) {
+                // ended by now
+            }
+            Await.until("ended", () -> closed.get() > 0);
+            assertThat(most).as("bytes of answers in memory").isLessThan(1000);
+        }
+    }
+
+    /** Its connection is idle and about to be closed when it begins, and a last look finds ever more of it. */
+    @Test
+    void whoSendsForEverWhileItIsLookedAtHoldsUpNobody() throws Exception {
+        serve(0);
+        AtomicLong sent = new AtomicLong();
+        try (Socket flood = new Socket(); Socket other = new Socket()) {
+            flood.connect(address);
+            NIOConnection one = (NIOConnection) accepted.take();
+            send(flood, WHOLE);
+            assertThat(answer(flood)).isEqualTo("202");
+            // Much of it waits in the system at any moment, so that reading alone never catches up with it.
+            ((SocketChannel) one.getChannel()).setOption(StandardSocketOptions.SO_RCVBUF, 1 << 22);
+            hold();
+            other.connect(address);
+            desk.now += 60_000;
+            filter.sweep();
+            String chunk = "1;" + "x".repeat(limits.maxHead() - 100) + "\r\na\r\n";
+            CountDownLatch begun = new CountDownLatch(1);
+            Thread sending = new Thread(() -> {
+                try {
+                    send(flood, HEAD.replace("Content-Length: 1", "Transfer-Encoding: chunked"));
+                    for (int i = 0; i < limits.maxBody(); i++) {
+                        send(flood, chunk);
+                        sent.addAndGet(chunk.length());
+                        begun.countDown();
+                    }
+                } catch (IOException e) {
+                    // ended by now
+                }
+            });
+            sending.setDaemon(true); // it ends with its connection
+            sending.start();
+            begun.await();
+            send(other, ASK);
+            released.countDown();
+            assertThat(answer(other)).isEqualTo("404");
+            assertThat(sent.get()).isLessThan(100_000_000);
+        }
+    }
+
     // ---- leaving ----
 
     private enum Leaving {
