Refuse what was read behind the last round

Cause: the loop ends 0.2 s after its time whatever the selector still does (Relay.drain). A request that the selector reads then is posted to a loop that runs no more: it was read, and its connection ended with no answer.

Change: once the loop has ended, whoever waits for an answer, has begun a request or may have a first one on its way gets 503; what is handed in from then on is refused at once. All that was taken has been stored and answered by the round that took it, so nothing that is kept is refused.

Without it ClosingTest fails: atTheVeryEndWhateverIsOwedAnAnswerHasOne (no answer for 503) and aLateAnswerIsNoOtherRequestsAnswer (time-out). The second also holds that a late answer reaches no other request: a connection that was refused while one was out takes no second one.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -90,6 +90,7 @@
     private boolean late;    // it is time to go, whatever is out
     private boolean parting; // clients' connections are being ended
     private boolean parted;  // all that they brought has been taken
+    private volatile boolean over; // no round follows
 
     /** Makes what decides; a test puts a broken one in its place. */
     interface Decisions {
@@ -131,6 +132,8 @@
             if (failure == null) {
                 loop.run(this::round);
             }
+            over = true;
+            clients.refuse(); // what was read behind the last round has been taken by nobody
             watch.leave();
             fellows.close();
             wire.close();
@@ -387,6 +390,10 @@
 
     @Override
     public void handIn(HandIn h) {
+        if (over) {
+            h.answer(REFUSED, 0);
+            return;
+        }
         loop.post(() -> {
             try {
                 take(h);
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -420,6 +420,13 @@
         return true;
     }
 
+    /** Refuses what it has been told nothing of: nobody is left who could take it. */
+    synchronized void refuse() {
+        if (phase == Phase.OPEN && (answering || !served || !parser.between())) {
+            turnAway(503);
+        }
+    }
+
     /** Since when it has been as it is. */
     synchronized double since() {
         return phase == Phase.ENDING ? endingSince : quietSince;
--- a/src/main/java/firstair/relay/clients/ClientFilter.java
+++ b/src/main/java/firstair/relay/clients/ClientFilter.java
@@ -125,4 +125,9 @@
         all.forEach(c -> c.end(one));
         one.run();
     }
+
+    /** Refuses, with nobody left to take it, what has been read and not answered. */
+    public void refuse() {
+        open.forEach(ClientConnection::refuse);
+    }
 }
--- a/src/test/java/firstair/relay/clients/ClosingTest.java
+++ b/src/test/java/firstair/relay/clients/ClosingTest.java
@@ -14,6 +14,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -33,6 +34,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that send, stop and leave while their connections are ended: each step is forced by a gate. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -586,6 +588,44 @@
 
     // ---- answers and their requests ----
 
+    /** Refused in its turn, its request's late answer is not heard, and no second request is taken from it. */
+    @ParameterizedTest
+    @ValueSource(ints = {202, 503, 504})
+    void aLateAnswerIsNoOtherRequestsAnswer(int status) throws Exception {
+        serve(0);
+        desk.holding = true;
+        try (Socket s = client()) {
+            send(s, WHOLE + WHOLE);
+            HandIn first = desk.waiting.take();
+            filter.refuse();
+            first.answer(status, 0);
+            assertThat(answers(s)).containsExactly("503");
+            assertThat(first.gone()).isTrue();
+            assertThat(desk.taken).hasValue(1);
+        }
+    }
+
+    /** The last moment: what waits for an answer, has begun or may be on its way is refused, who rests just ends. */
+    @Test
+    void atTheVeryEndWhateverIsOwedAnAnswerHasOne() throws Exception {
+        serve(0);
+        try (Socket rests = client(); Socket waits = client(); Socket half = client(); Socket silent = client()) {
+            send(rests, WHOLE);
+            assertThat(answer(rests)).isEqualTo("202");
+            desk.holding = true;
+            send(waits, WHOLE);
+            send(half, HEAD);
+            desk.waiting.take();
+            Await.until("all read", () -> read.get() == 2 * WHOLE.length() + HEAD.length());
+            filter.refuse();
+            wire.close();
+            for (Socket s : Arrays.asList(waits, half, silent)) {
+                assertThat(answers(s)).containsExactly("503");
+            }
+            assertThat(answers(rests)).isEmpty();
+        }
+    }
+
     /** Small writes would wait for the other side's word on those before, and go with a reset. */
     @Test
     void answersDoNotWaitInTheSystem() throws Exception {
