Changes of the list are known within 6 s through any two failed calls

The term that a change counts 6 s after discovery had it and could be reached was not kept by the sum of the constants. Of Control.list: the pause after failed calls grew to an eighth of askEvery (1.56 s with its jitter), and to 3.75 s where askEvery is not told. Of Watch.check: a call without a head was given up after 1.6 s, and the next one after 3.1 s, by which its turn and a connection that came up late were thrown away; half an object was waited for as long as a silent watch. A silent watch and two calls without a head: 2.6 + 1.6 + 0.5 + 3.1 s; back just after a failed call: 3.75 s of pause before anything was asked. Seen beside it: a failure that was told before SIGHUP moved the watch cut the new place's call off (Watch.listen left what was out), and a list that was lost and found all the time was two lines of the log each time.

Checked and held before: SIGHUP twice while calls hang; descriptors filled by silent clients while discovery is down (64 of 96 at most, the reserve of 32 takes three calls to discovery, eight posts and two files beside the 17 at rest); versions that go back; what ends at once is paused by the module.

A call that lets wait for its head, or for the rest of an object, for 1 s is news, and stays out beside the next one until it is answered or 3 s have passed; the first answer ends the others. The pause no longer grows: 0.3 to 0.5 s. No second call goes while one is out that does not let wait. Lost lists are one line a minute. The module is a line shorter.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -81,7 +81,7 @@
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
     private static final double CROWD_WORTH = 1;           // the same where not all that waits can go
     private static final double ROOM = 0.06;               // share of the open messages kept free
-    private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
+    private static final double ASK_AGAIN_MS = 400;        // pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
     private static final double FORGET_MS = 10_000;        // what comes back on the list sooner is known
 
@@ -202,7 +202,6 @@
     private Share usualShare = Share.ALL;             // of destinations of which none was told
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
     private double nextWake;                          // earliest that this round wants
-    private int askFailures;
     private double startedAt = Double.NaN;            // when the first message came
     private boolean returned;                         // after a restart, with messages that were tried before
 
@@ -225,11 +224,11 @@
     @Override public void list(double now, News news, List<Entry> entries) {
         if (news == News.FAILED) {
             // A failure does not say whether a watch stands: ask again, long before askEvery has passed.
-            double most = cfg.rules().askEveryMs() > 0 ? cfg.rules().askEveryMs() / 8 : MOST_TRIAL_MS;
-            askAt = now + jittered(Math.min(most, ASK_AGAIN_MS * Math.pow(PAUSE_GROWTH, askFailures++)));
+            // Changes count soon after discovery is back, and more calls may fail by then: no longer pauses.
+            double most = cfg.rules().askEveryMs() > 0 ? cfg.rules().askEveryMs() / 8 : FOREVER;
+            askAt = now + jittered(Math.min(most, ASK_AGAIN_MS));
             return;
         }
-        if (news != News.STORED) { askFailures = 0; }
         if (news != News.CHANGES) { endpoints.values().forEach(e -> leave(now, e)); }
         for (Entry en : entries) {
             Endpoint e = endpoints.computeIfAbsent(en.endpoint(), k -> add(now, en));
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -29,7 +29,7 @@
  * @param clientIdleMs    until a client's connection without a request is closed
  * @param lingerMs        how long a refused client may still send before its connection is cut
  * @param lingerBytes     how much a refused client may still send before that
- * @param listAnswerMs    until discovery must have begun an answer; half of it for a call whose forerunner was answered
+ * @param listAnswerMs    until discovery must have begun an answer; after a third of it another call goes beside it
  * @param listSilenceMs   silence after which a watch is dead
  * @param listLine        bytes of one object that discovery sends at most
  * @param notices         of notices to the platform
@@ -75,7 +75,8 @@
     private static final int MAX_BODY = 64 * KIB;
     private static final int MAX_HEAD = 16 * KIB;        // many times what clients and endpoints send
     private static final double LIST_SILENCE_MS = 2500;  // lines come every 2 s; twice over is well under 6 s
-    private static final double LIST_ANSWER_MS = 3000;   // half of it at first, while discovery refuses after 1 s
+    private static final double LIST_ANSWER_MS = 3000;   // twice a late connection
+    private static final int LIST_CALLS = 3;             // out at most beside each other
     private static final double NOTICE_DUE_MS = 300;     // after a message's time
     private static final double NOTICE_RETURN_MS = 1500; // after a relay is ready again
     private static final double NOTICE_ANSWER_MS = 1000; // an answer that comes late saves a repeat all the same
@@ -130,9 +131,18 @@
                 Math.max(0, roundMs), connectMs > 0 ? connectMs : USUAL_CONNECT_MS,
                 Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
                 REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_ANSWER_MS, LIST_SILENCE_MS,
-                LIST_LINE, new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS, NOTICE_ANSWER_MS, NOTICE_LEAST_MS,
-                NOTICE_MOST_MS, NOTICE_PAUSE_MS, NOTICE_URGENT_MS, NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS),
-                OVERDUE_MS, RELOAD_MS, OPEN_MS, DRAIN_ACCEPT_MS, DRAIN_CALLS_MS, DRAIN_MS);
+                LIST_LINE, new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS,
+                NOTICE_ANSWER_MS, NOTICE_LEAST_MS, NOTICE_MOST_MS, NOTICE_PAUSE_MS, NOTICE_URGENT_MS,
+                NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS), OVERDUE_MS, RELOAD_MS, OPEN_MS, DRAIN_ACCEPT_MS,
+                DRAIN_CALLS_MS, DRAIN_MS);
+    }
+
+    /**
+     * What a call to discovery may let wait before another goes beside it: as long as a turn may take there. So a call
+     * that fails, in whatever way, costs no more than this and the pause behind it.
+     */
+    public double listWaitMs() {
+        return listAnswerMs / LIST_CALLS;
     }
 
     /** These limits with what an installation sets of its own; {@link Own#schema} tells what it may. */
--- a/src/main/java/firstair/relay/Own.java
+++ b/src/main/java/firstair/relay/Own.java
@@ -56,7 +56,7 @@
                         "a destination without endpoints is still taken for one")
                 .table("list", "The list of endpoints")
                 .item("answer", Kind.DURATION, "3s", 100, MIN, false,
-                        "discovery must have begun an answer, in half of it after one that came")
+                        "discovery must have begun an answer; after a third of it another call goes beside it")
                 .item("silence", Kind.DURATION, "2.5s", 100, 10 * MIN, false, "a watch that says nothing is dead")
                 .item("line", Kind.SIZE, "4MiB", 64 * KIB, 1 << 30, false, "one object that discovery sends at most")
                 .table("platform", "Notices to the platform")
--- a/src/main/java/firstair/relay/discovery/JsonObjects.java
+++ b/src/main/java/firstair/relay/discovery/JsonObjects.java
@@ -64,6 +64,11 @@
         return says;
     }
 
+    /** Whether an object has begun whose rest has not come. */
+    boolean amid() {
+        return depth > 0;
+    }
+
     private void text(byte b) {
         if (b >= 0 && b < ' ') {
             throw new IllegalArgumentException("a text does not end");
--- a/src/main/java/firstair/relay/discovery/Watch.java
+++ b/src/main/java/firstair/relay/discovery/Watch.java
@@ -9,17 +9,21 @@
 import firstair.relay.net.Dialer;
 import firstair.relay.net.Link;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.logging.Logger;
 
 /**
  * Follows the list of endpoints: fetches it whole where none is held, and then watches for changes since the
  * version held. An answer that falls silent is asked for anew at once. Otherwise it does not come back by itself: that
- * a call or a watch has failed is news, and who gets the news asks again. All methods run on the loop's thread.
+ * a call or a watch has failed, or lets wait for what it owes, is news, and who gets the news asks again. A call that
+ * lets wait stays out beside the next one, since its connection may come up late and its turn may still come: the first
+ * that is answered ends the others. All methods run on the loop's thread.
  */
 public final class Watch {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     private static final String PATH = "/api/targets";
+    private static final double LINE_EVERY_MS = 60_000; // of the log, for a list that is lost and found all the time
 
     /** Gets the news, on the loop's thread. */
     public interface Listener {
@@ -35,9 +39,9 @@
     private final Zones zones;
     private final Listener listener;
     private long version;
-    private Call call;
-    private boolean lost;
-    private boolean unanswered; // discovery did not even begin to answer the last call
+    private final List<Call> calls = new ArrayList<>(); // out
+    private boolean lost; // and told so in the log
+    private double lostAt = Double.NEGATIVE_INFINITY; // when that was last told
 
     /** @param version version of the list held, or -1 */
     public Watch(Dialer dialer, Limits limits, Loop loop, InetSocketAddress address, List<String> kinds,
@@ -52,53 +56,79 @@
         this.listener = listener;
     }
 
-    /** Asks to be told of changes from now on. */
+    /** Asks to be told of changes from now on, unless a call is out that does not let wait. */
     public void listen() {
-        leave();
-        call = new Call(version >= 0);
-        call.start();
+        if (calls.stream().allMatch(c -> c.late)) {
+            call();
+        }
+    }
+
+    private void call() {
+        Call next = new Call(version >= 0);
+        calls.add(next);
+        next.start();
     }
 
     /** Discovery is elsewhere from now on: what was asked or watched at the old place is asked anew, at once. */
     public void move(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
-            listen();
+            leave();
+            call();
         }
     }
 
     /** Whether a watch stands and has told something, so that the list is what discovery has. */
     public boolean current() {
-        return call != null && call.watching && call.told;
+        return calls.stream().anyMatch(c -> c.watching && c.told);
     }
 
     /** Ends what is out. */
     public void leave() {
-        Call over = call;
-        call = null;
-        if (over != null && over.link != null) {
+        List.copyOf(calls).forEach(this::leave);
+    }
+
+    private void leave(Call over) {
+        calls.remove(over);
+        if (over.link != null) {
             over.link.leave();
         }
     }
 
     private void failed(Call which, String why) {
-        if (call != which) {
-            return;
+        if (calls.contains(which)) {
+            leave(which);
+            tell(which, why);
+        }
+    }
+
+    /** That a call fails is news once: one that has let wait has been asked for again. */
+    private void tell(Call which, String why) {
+        if (!which.late) {
+            which.late = true;
+            lost(why);
+            listener.news(News.FAILED, null);
         }
-        leave();
-        lost(why);
-        listener.news(News.FAILED, null);
     }
 
     private void lost(String why) {
-        if (!lost) {
+        if (!lost && loop.now() - lostAt >= LINE_EVERY_MS) {
             LOG.warning("list lost: " + why);
+            lost = true;
+            lostAt = loop.now();
+        }
+    }
+
+    /** A call has got what it was owed: the others are out in vain. */
+    private void answered(Call by) {
+        if (calls.contains(by)) {
+            by.late = false;
+            List.copyOf(calls).stream().filter(c -> c != by).forEach(this::leave);
         }
-        lost = true;
     }
 
     private void object(Call from, String text) {
-        if (call != from) {
+        if (!calls.contains(from)) {
             return;
         }
         Listed listed;
@@ -112,27 +142,27 @@
             LOG.info("list found again, version " + listed.version());
         }
         lost = false;
-        unanswered = false;
-        call.told = true;
+        from.told = true;
         version = listed.version();
+        answered(from);
         listener.news(listed.full() ? News.COMPLETE : News.CHANGES, listed);
         if (!from.watching) {
             leave();
-            listen();
+            call();
         }
     }
 
     /** One call to discovery. */
     private final class Call implements Link.Exchange {
         final boolean watching;
-        final JsonObjects objects = new JsonObjects(limits.listLine(), t -> loop.post(() -> object(this, t)));
-        // Discovery answers in turn, or refuses, sooner than this; who gets nothing at all is given longer next time.
-        final double patience = unanswered ? limits.listAnswerMs() : limits.listAnswerMs() / 2;
+        final JsonObjects objects = new JsonObjects(limits.listLine(), this::whole);
         Link link; // null until it has been opened
         boolean told;
+        boolean late; // lets wait for its head, or for the rest of an object; that is news already
         private boolean doubted;
         private volatile double heardAt = loop.now();
         private volatile boolean begun;
+        private volatile double objectAt = Double.NaN; // when the object began of which the rest is owed
 
         Call(boolean watching) {
             this.watching = watching;
@@ -142,18 +172,25 @@
             String target = watching ? PATH + "?follow=1&since=" + version : PATH;
             byte[] request = HttpWriter.request("GET", target, HostPort.of(address))
                     .bare();
-            // First the time-out, then what may fail: a call that could not be opened must not be waited for for ever.
-            loop.after(patience, this::check);
+            // First the time-outs, then what may fail: a call that could not be opened must not be waited for for ever.
+            loop.after(limits.listWaitMs(), () -> waited(!begun, "no answer yet"));
+            loop.after(Math.min(limits.listSilenceMs(), limits.listAnswerMs()), this::check);
             link = dialer.open(address, Long.MAX_VALUE, request, this, () -> { });
         }
 
+        private void waited(boolean still, String what) {
+            if (still && calls.contains(this)) {
+                tell(this, what + ", for " + Math.round(limits.listWaitMs()) + " ms");
+            }
+        }
+
         /** A watch whose empty lines stay away is dead, though nothing says so; so is one amid an object. */
         private void check() {
-            if (call != this) {
+            if (!calls.contains(this)) {
                 return;
             }
             double silent = loop.now() - heardAt;
-            double most = begun ? limits.listSilenceMs() : patience;
+            double most = begun ? limits.listSilenceMs() : limits.listAnswerMs();
             if (silent < most) {
                 doubted = false;
                 loop.after(most - silent, this::check);
@@ -161,14 +198,11 @@
                 doubted = true; // a process that gets little of a core may have bytes here that it has not read
                 loop.after(limits.sweepMs(), this::check);
             } else {
-                String why = "silent for " + Math.round(silent) + " ms";
+                // What it misses counts soon. Its silence was pause enough: it is no refusal, which asks for more.
+                leave(this);
+                lost("silent for " + Math.round(silent) + " ms");
                 if (begun) {
-                    // What it misses counts soon. Its silence was pause enough: it is no refusal, which asks for more.
-                    lost(why);
                     listen();
-                } else {
-                    unanswered = true;
-                    failed(this, why);
                 }
             }
         }
@@ -177,9 +211,7 @@
         public void head(Head head) {
             heardAt = loop.now();
             begun = true;
-            if (head.status() != 200) {
-                loop.post(() -> failed(this, "answer " + head.status()));
-            }
+            loop.post(head.status() == 200 ? () -> answered(this) : () -> failed(this, "answer " + head.status()));
         }
 
         @Override
@@ -188,11 +220,22 @@
                 if (objects.feed(bytes, offset, length)) {
                     heardAt = loop.now();
                 }
+                if (objects.amid() && Double.isNaN(objectAt)) {
+                    double began = loop.now();
+                    objectAt = began;
+                    loop.post(() -> loop.after(limits.listWaitMs(),
+                            () -> waited(objectAt == began, "half an object")));
+                }
             } catch (IllegalArgumentException e) {
                 loop.post(() -> failed(this, e.getMessage()));
             }
         }
 
+        private void whole(String text) {
+            objectAt = Double.NaN;
+            loop.post(() -> object(this, text));
+        }
+
         @Override
         public void done(boolean reusable, boolean alone) {
             loop.post(() -> failed(this, "ended"));
