An object of the list may be no larger than the heap can read

An object that discovery sends was read up to 4 MiB whatever the heap. Read, a list takes some fifteen times its length (text, its copy, the tree of it): with limits.memory_mb at 112 the heap is 26 MB, and a list of 4 MB ended the process (ExitOnOutOfMemoryError). The line at fault is LIST_LINE in Limits, which knew nothing of the heap.

A thirty-second of the heap where that is less; what an installation sets itself stands. ReferenceTest compares the usual values on a heap that is large enough for them, LimitsTest has the small ones.

Without it anObjectOfManyMegabytesIsRefusedOnASmallHeap ends with "Terminating due to java.lang.OutOfMemoryError: Java heap space"; with it the call fails, one line is logged, and the relay stays ready.

--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -92,6 +92,7 @@
     private static final int READ_BUFFER = 16 * KIB;     // most requests come in one read
     private static final int BACKLOG = 512;              // as many as may be open
     private static final int LIST_LINE = 4 * KIB * KIB;  // a list of some ten thousand endpoints
+    private static final int LIST_HEAPS = 32;            // of such in the heap; read, one takes fifteen times as much
     // Times.
     private static final double IDLE_GUARD_MS = 200;     // closed so long before the endpoint may close it
     private static final double HALT_MS = 50;            // several times the way to an endpoint and back
@@ -131,7 +132,7 @@
                 Math.max(0, roundMs), connectMs > 0 ? connectMs : USUAL_CONNECT_MS,
                 Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
                 REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_ANSWER_MS, LIST_SILENCE_MS,
-                LIST_LINE, new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS,
+                (int) Math.min(LIST_LINE, heapBytes / LIST_HEAPS), new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS,
                 NOTICE_ANSWER_MS, NOTICE_LEAST_MS, NOTICE_MOST_MS, NOTICE_PAUSE_MS, NOTICE_URGENT_MS,
                 NOTICE_PAUSE_MOST_MS, MAX_BODY, NOTICE_POSTS), OVERDUE_MS, RELOAD_MS, OPEN_MS, DRAIN_ACCEPT_MS,
                 DRAIN_CALLS_MS, DRAIN_MS);
--- a/src/main/java/firstair/relay/Own.java
+++ b/src/main/java/firstair/relay/Own.java
@@ -58,7 +58,8 @@
                 .item("answer", Kind.DURATION, "3s", 100, MIN, false,
                         "discovery must have begun an answer; after a third of it another call goes beside it")
                 .item("silence", Kind.DURATION, "2.5s", 100, 10 * MIN, false, "a watch that says nothing is dead")
-                .item("line", Kind.SIZE, "4MiB", 64 * KIB, 1 << 30, false, "one object that discovery sends at most")
+                .item("line", Kind.SIZE, "4MiB", 64 * KIB, 1 << 30, false,
+                        "one object that discovery sends at most; unless it is set, no more than a 32nd of the heap")
                 .table("platform", "Notices to the platform")
                 .item("answer", Kind.DURATION, "1s", 50, MIN, true, "a post without an answer is given up")
                 .item("least", Kind.DURATION, "60ms", 1, 10 * S, true,
--- a/src/test/java/firstair/cli/ReferenceTest.java
+++ b/src/test/java/firstair/cli/ReferenceTest.java
@@ -19,6 +19,7 @@
         assertThat(Files.readString(Path.of("docs", "configuration.md"))).isEqualTo(ConfigCommand.page());
     }
 
+    /** On a heap that is large enough for them: {@code LimitsTest} has a small one. */
     @Test
     void usualValuesAreWhatHoldsWithoutThem() {
         Map<String, String> usual = new HashMap<>();
@@ -28,7 +29,7 @@
             origins.put(i.path(), "test");
         }
         Values all = Read.texts(usual, origins, Own.schema()).values();
-        Limits l = Limits.of(0, 0, 64_000_000, 0, 0, 0);
+        Limits l = Limits.of(0, 0, 256_000_000, 0, 0, 0);
         assertThat(l.tuned(all)).isEqualTo(l);
         assertThat(l.tuned(Values.NONE)).isSameAs(l);
     }
--- a/src/test/java/firstair/relay/LimitsTest.java
+++ b/src/test/java/firstair/relay/LimitsTest.java
@@ -41,4 +41,13 @@
         assertThat(l.drainAcceptMs()).isGreaterThan(400);
         assertThat(l.drainMs()).isLessThan(3700 - 500);
     }
+
+    /** Read, an object of the list takes some fifteen times its length, and clients may take half of the heap. */
+    @Test
+    void anObjectOfTheListLeavesRoomInTheHeap() {
+        for (long heap : new long[] {24_000_000, HEAP, 1_000_000_000}) {
+            assertThat(Limits.of(0, 0, heap, 0, 0, 0).listLine() * 16L).as("with %s", heap)
+                    .isBetween(8_000_000L, heap / 2);
+        }
+    }
 }
--- a/src/test/java/firstair/relay/ListClockTest.java
+++ b/src/test/java/firstair/relay/ListClockTest.java
@@ -21,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -473,4 +474,35 @@
             assertThat(most).as("descriptors").isBetween(sockets / 2, sockets - 16);
         }
     }
+
+    /** An object that no list is ends the call and takes no more memory than there is, however small that is. */
+    @Test
+    void anObjectOfManyMegabytesIsRefusedOnASmallHeap() throws Exception {
+        String one = Platform.list(2, true, "s1 7 127.0.0.1:1");
+        String entry = one.substring(one.indexOf('[') + 1, one.indexOf(']'));
+        StringBuilder many = new StringBuilder("{\"version\":2,\"full\":true,\"servers\":[").append(entry);
+        while (many.length() < 4_000_000) {
+            many.append(',').append(entry.replace("s1", "s" + many.length()));
+        }
+        String all = HEAD + chunk(many + "]}");
+        BlockingQueue<StandIn.Request> calls = new LinkedBlockingQueue<>();
+        try (StandIn place = new StandIn(r -> {
+            calls.add(r);
+            write(r, all);
+        })) {
+            Node node = new Node(folder, place.hostPort(), Platform.list(1, true, "s1 7 127.0.0.1:1"));
+            node.config(Files.readString(node.write()).replace("\"memory_mb\":192", "\"memory_mb\":112"));
+            node.start();
+            try {
+                node.line("list lost: an object is too long");
+                for (int i = 0; i < 4; i++) {
+                    calls.take();
+                }
+                assertThat(node.get("/-/ready")).startsWith("HTTP/1.1 200");
+                assertThat(node.lines()).filteredOn(l -> l.contains("list lost")).hasSize(1);
+            } finally {
+                node.kill();
+            }
+        }
+    }
 }
