A report of brackets in brackets no longer ends the relay

Seen by reading: Answers.load built a tree of Server-Load (JsonParser.parseString) and asked it for an object or a figure. An answer with a header of 14,000 brackets, within the 16 KiB that a head may have, ended the process.

Change: the report is read member by member (JsonReader, lenient as before): x0 and x1 are figures or nothing, other members are passed over at any depth without recursion. A list of one figure is no figure any more. Names in any order and reports with other fields, as other deployments have them, read as before.

AnswersTest.aReportOfBracketsAloneTellsNothing, on a thread with that stack, fails without it: StackOverflowError in JsonWriter.beginArray, and a list taken for a figure (expected NaN, was 1.0).

--- a/src/main/java/firstair/relay/endpoints/Answers.java
+++ b/src/main/java/firstair/relay/endpoints/Answers.java
@@ -1,12 +1,13 @@
 package firstair.relay.endpoints;
 
-import com.google.gson.JsonElement;
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
 import firstair.control.Controller.Load;
 import firstair.control.Controller.Result;
 import firstair.relay.http.Head;
+import java.io.IOException;
+import java.io.StringReader;
 
 /** What endpoints' answers mean in the field's words. */
 final class Answers {
@@ -73,24 +74,45 @@
         }
     }
 
-    /** The report that an answer carries. */
+    /**
+     * The report that an answer carries. Read member by member: a tree of what an endpoint may write, brackets in
+     * brackets by the thousand, would overflow the loop's stack, and the relay would end by it.
+     */
     static Load load(Head head) {
         String text = head.header("server-load");
         if (text == null) {
             return Load.NONE;
         }
-        try {
-            JsonObject o = JsonParser.parseString(text).getAsJsonObject();
-            return new Load(number(o.get("x0")), number(o.get("x1")));
-        } catch (JsonParseException | IllegalStateException | NumberFormatException
-                | UnsupportedOperationException e) {
+        double left = Double.NaN;
+        double limit = Double.NaN;
+        try (JsonReader report = new JsonReader(new StringReader(text))) {
+            report.setStrictness(Strictness.LENIENT);
+            report.beginObject();
+            while (report.hasNext()) {
+                String name = report.nextName();
+                if (name.equals("x0")) {
+                    left = figure(report);
+                } else if (name.equals("x1")) {
+                    limit = figure(report);
+                } else {
+                    report.skipValue();
+                }
+            }
+            report.endObject();
+            return report.peek() == JsonToken.END_DOCUMENT ? new Load(left, limit) : Load.NONE;
+        } catch (IOException | IllegalStateException | NumberFormatException e) {
             return Load.NONE;
         }
     }
 
     /** A figure of a report. One that no limit can have would stop all calls, or pace none. */
-    private static double number(JsonElement e) {
-        double x = e == null || e.isJsonNull() ? Double.NaN : e.getAsDouble();
+    private static double figure(JsonReader report) throws IOException {
+        JsonToken kind = report.peek();
+        if (kind != JsonToken.NUMBER && kind != JsonToken.STRING) {
+            report.skipValue();
+            return Double.NaN;
+        }
+        double x = report.nextDouble();
         return x >= 0 && x < Integer.MAX_VALUE ? x : Double.NaN;
     }
 }
--- a/src/test/java/firstair/relay/endpoints/AnswersTest.java
+++ b/src/test/java/firstair/relay/endpoints/AnswersTest.java
@@ -9,6 +9,7 @@
 import firstair.relay.http.HttpException;
 import firstair.relay.http.HttpParser;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -16,7 +17,7 @@
 class AnswersTest {
     private static Head head(int status, String... headers) throws HttpException {
         Head[] found = new Head[1];
-        HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER, 1000, 0, new Collector() {
+        HttpParser parser = new HttpParser(HttpParser.Kind.ANSWER, 16_384, 0, new Collector() {
             @Override
             protected void whole(Head head, byte[] body) {
                 found[0] = head;
@@ -90,4 +91,39 @@
                     .as(odd).isEqualTo(Load.NONE);
         }
     }
+
+    /** Other customers' reports name other fields, in any order, or none that counts here. */
+    @Test
+    void reportsMayHoldOtherFieldsAsWell() throws HttpException {
+        assertThat(Answers.load(head(200, "Server-Load: {\"x1\":9.5,\"inflight\":3,\"x0\":1}")))
+                .isEqualTo(new Load(1, 9.5));
+        assertThat(Answers.load(head(200, "Server-Load: {\"queue\":[1,{\"x1\":2}],\"x0\":0.25}")).allowanceLeft())
+                .isEqualTo(0.25);
+        assertThat(Answers.load(head(200, "Server-Load: {\"util\":0.5}"))).isEqualTo(Load.NONE);
+        assertThat(Answers.load(head(200, "Server-Load: {}"))).isEqualTo(Load.NONE);
+        assertThat(Answers.load(head(200, "Server-Load: {\"x1\":5} {}"))).isEqualTo(Load.NONE);
+    }
+
+    /** On a stack of the size that the loop's thread has in service; an overflow there ends the relay. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"''|''", "{\"x1\":|}", "{\"q\":|}", "{\"x0\":0.5,\"x1\":|"})
+    void aReportOfBracketsAloneTellsNothing(String before, String behind) throws Exception {
+        for (String open : new String[] {"[", "{\"x1\":"}) {
+            int times = 15_000 / open.length();
+            String text = before + open.repeat(times) + "1" + (open.equals("[") ? "]" : "}").repeat(times / 20)
+                    + (behind == null ? "" : behind);
+            String closed = before + "[".repeat(7_000) + "1" + "]".repeat(7_000) + (behind == null ? "" : behind);
+            for (String report : new String[] {text, closed}) {
+                Head head = head(200, "Server-Load: " + report);
+                AtomicReference<Load> load = new AtomicReference<>();
+                AtomicReference<Throwable> fault = new AtomicReference<>();
+                Thread loop = new Thread(null, () -> load.set(Answers.load(head)), "small", 256 * 1024);
+                loop.setUncaughtExceptionHandler((t, e) -> fault.set(e));
+                loop.start();
+                loop.join();
+                assertThat(fault.get()).as(before + open).isNull();
+                assertThat(load.get().limitPerS()).as(before + open).isNaN();
+            }
+        }
+    }
 }
