A whole record with impossible figures no longer keeps the relay from starting

Records.content caught what ends too early (IOException), not a body whose length is below 0 (readNBytes throws IllegalArgumentException), and Store took a call's number below 0 for an index.

Both are passed over now, as a record of another kind is: what is whole is kept. StoreTest.aWholeRecordWithImpossibleFiguresIsPassedOver fails without it (IllegalArgumentException: len < 0).

--- a/src/main/java/firstair/relay/store/Records.java
+++ b/src/main/java/firstair/relay/store/Records.java
@@ -196,8 +196,8 @@
                 default -> throw new IllegalStateException(type.name());
             }
             return true;
-        } catch (IOException e) {
-            return false; // shorter than its kind
+        } catch (IOException | IllegalArgumentException e) {
+            return false; // shorter than its kind, or with a length that none has
         }
     }
 }
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -134,7 +134,7 @@
             @Override
             public void ended(long id, int attempt, boolean maybeRan) {
                 Open o = open.get(id);
-                if (o != null && attempt < o.tries.size()) {
+                if (o != null && attempt >= 0 && attempt < o.tries.size()) {
                     Tried t = o.tries.get(attempt);
                     o.tries.set(attempt, new Tried(t.endpoint(), t.sentAt(), maybeRan));
                 }
--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -154,6 +154,65 @@
         assertThat(only(reopened()).taken().id()).isEqualTo(1);
     }
 
+    /** With the right checksum, and figures that no record of ours has: it must not keep the relay from starting. */
+    @Test
+    void aWholeRecordWithImpossibleFiguresIsPassedOver() throws IOException {
+        Store s = reopened();
+        s.taken(message(1, 40));
+        s.called(1, "e1", 11);
+        s.flush();
+        byte[] taken = Records.taken(message(2, 0));
+        java.nio.ByteBuffer.wrap(taken).putInt(taken.length - Integer.BYTES, -1); // its body's length
+        byte[] ended = Records.ended(1, -1, false);
+        Path file = files().get(0);
+        for (byte[] odd : List.of(taken, ended)) {
+            Files.write(file, Records.sealed(odd), java.nio.file.StandardOpenOption.APPEND);
+        }
+        Store.Open o = only(reopened());
+        assertThat(o.taken().id()).isEqualTo(1);
+        assertThat(o.tries()).containsExactly(new Tried("e1", 11, true));
+    }
+
+    /** Whatever is spoilt in between, cut away or put in: each message whose records are whole is there. */
+    @Test
+    void whateverIsSpoiltWhatIsWholeIsKept() throws IOException {
+        for (long seed = 1; seed <= 200; seed++) {
+            java.util.Random random = new java.util.Random(seed);
+            Path folderOfSeed = folder.resolve("s" + seed);
+            Store s = Store.open(folderOfSeed, DISK);
+            Path file;
+            try (Stream<Path> all = Files.list(folderOfSeed)) {
+                file = all.toList().get(0);
+            }
+            long[] ends = new long[20];
+            for (int id = 0; id < ends.length; id++) {
+                s.taken(message(id, random.nextInt(100)));
+                s.called(id, "e" + id, 10 + id);
+                s.flush();
+                ends[id] = Files.size(file);
+            }
+            s.close();
+            byte[] all = Files.readAllBytes(file);
+            int from = random.nextInt(all.length);
+            int to = Math.min(all.length, from + 1 + random.nextInt(60));
+            byte[] put = new byte[random.nextInt(3) == 0 ? random.nextInt(80) : to - from];
+            random.nextBytes(put);
+            var out = new java.io.ByteArrayOutputStream();
+            out.write(all, 0, from);
+            out.writeBytes(put);
+            out.write(all, to, all.length - to);
+            Files.write(file, out.toByteArray());
+            List<Long> found = Store.open(folderOfSeed, DISK).open().stream()
+                    .filter(o -> o.tries().size() == 1).map(o -> o.taken().id()).toList();
+            for (int id = 0; id < ends.length; id++) {
+                long begin = id == 0 ? 0 : ends[id - 1];
+                if (ends[id] <= from || begin >= to) {
+                    assertThat(found).as("seed %d, bytes %d to %d", seed, from, to).contains((long) id);
+                }
+            }
+        }
+    }
+
     /** Calls have no number that the store knows of: their records count as they come. */
     @Test
     void messagesWithVeryManyCallsStayWithinTheRoom() throws IOException {
