Settings that contradict end the start by their field, and sense in another form is read

At fault: - Facts.choice: an effect that is not known was read as safe to repeat, an unknown group as everywhere; a class named twice was shadowed by the later one (Relay's map); negative times went through; a dedup class without a window was taken and never repeated. - Fields.whole: 20.0 or 2e1 ended the start, though to JSON they are 20; Facts cut counts to 32 bits, so that attempts were one, and refused such a bundleMax. - Config.names split zones and kinds at commas of their names: a zone's number and az then disagreed. - ConfigException and Listed quoted what was read, of any length and with its line ends, in the one line.

Now Contradictions (the relay's start alone; the simulator's hand is trusted) refuses what nobody can serve, and only that: unknown effect, a dedup class's unknown group or missing window, a name given twice, a deadline of 0, figures below 0. Served as before: ask without a period, own zone beyond the named ones (fleets have more zones than sites name), no slots told, counts of -1, unknown discovery, weights, curves. Json tells whole numbers in digits.

Two further cases of aBadConfigurationEndsWithOneLineThatNamesTheField.

--- a/src/main/java/firstair/relay/Config.java
+++ b/src/main/java/firstair/relay/Config.java
@@ -8,6 +8,7 @@
 import firstair.control.Controller;
 import firstair.relay.discovery.Listed;
 import firstair.relay.discovery.Zones;
+import firstair.settings.Contradictions;
 import firstair.settings.Facts;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -66,6 +67,7 @@
         Json top = new Json("", root);
         Json site = new Json("settings.", object(root, "settings"));
         Controller.Settings settings = Facts.read(site);
+        Contradictions.refuse(site);
         if (settings.classes().isEmpty()) {
             throw new ConfigException("settings.classes", "no class of message");
         }
@@ -73,8 +75,8 @@
         if (state == null || state.isEmpty()) {
             throw new ConfigException("ROUTER_STATE", "missing from the environment");
         }
-        List<String> kinds = names(site, "shapes");
-        Zones zones = new Zones(names(site, "azs"));
+        List<String> kinds = names(object(root, "settings"), "shapes");
+        Zones zones = new Zones(names(object(root, "settings"), "azs"));
         return new Config(top.text("name", env.getOrDefault("ROUTER_NAME", "relay")),
                 address("listen", top.text("listen", env.get("ROUTER_LISTEN"))),
                 address("discovery", top.text("discovery", env.get("ROUTER_DISCOVERY"))),
@@ -120,11 +122,17 @@
         }
     }
 
-    private static List<String> names(Json site, String field) {
+    /** Names in the order of their numbers: of a list as they are, or of a text with commas between. */
+    private static List<String> names(JsonObject settings, String field) {
+        JsonElement told = settings.get(field);
         List<String> all = new ArrayList<>();
-        for (String one : site.text(field, "").split(",")) {
-            if (!one.isEmpty()) {
-                all.add(one);
+        if (told != null && told.isJsonArray()) {
+            told.getAsJsonArray().forEach(one -> all.add(one.isJsonPrimitive() ? one.getAsString() : ""));
+        } else if (told != null && told.isJsonPrimitive()) {
+            for (String one : told.getAsString().split(",")) {
+                if (!one.isEmpty()) {
+                    all.add(one);
+                }
             }
         }
         return all;
--- a/src/main/java/firstair/relay/ConfigException.java
+++ b/src/main/java/firstair/relay/ConfigException.java
@@ -10,7 +10,7 @@
 
     /** Names the field and what is wrong with it. */
     public ConfigException(String field, String what) {
-        this(List.of("config: field " + field + ": " + what));
+        this(List.of(("config: field " + field + ": " + what).replaceAll("\\s+", " ")));
     }
 
     /** Names several places, a line each. */
--- a/src/main/java/firstair/relay/Json.java
+++ b/src/main/java/firstair/relay/Json.java
@@ -12,6 +12,7 @@
  * joined by commas; a list of objects as {@code list.count} and {@code list.0.name}.
  */
 final class Json extends Fields {
+    private static final double EXACT = 1L << 53; // whole numbers up to here have a double of their own
     private final Map<String, String> values = new HashMap<>();
     private final String prefix;
 
@@ -26,7 +27,7 @@
         } else if (e.isJsonArray()) {
             array(path, e.getAsJsonArray());
         } else if (!e.isJsonNull()) {
-            values.put(path, e.getAsString());
+            values.put(path, text(e));
         }
     }
 
@@ -35,7 +36,7 @@
         for (int i = 0; i < list.size(); i++) {
             JsonElement one = list.get(i);
             if (one.isJsonPrimitive()) {
-                plain.append(i > 0 ? "," : "").append(one.getAsString());
+                plain.append(i > 0 ? "," : "").append(text(one));
             } else {
                 put(path + "." + i, one);
             }
@@ -44,6 +45,16 @@
         values.put(path + ".count", String.valueOf(list.size()));
     }
 
+    /** A whole number is told in digits alone, whether it was written as 20, 20.0 or 2e1: to JSON these are one. */
+    private static String text(JsonElement e) {
+        String text = e.getAsString();
+        if (e.getAsJsonPrimitive().isNumber() && !text.matches("-?\\d+")) {
+            double d = e.getAsDouble();
+            return Math.rint(d) == d && Math.abs(d) < EXACT ? String.valueOf((long) d) : text;
+        }
+        return text;
+    }
+
     @Override
     protected String value(String name) {
         return values.get(name);
--- a/src/main/java/firstair/relay/discovery/Listed.java
+++ b/src/main/java/firstair/relay/discovery/Listed.java
@@ -25,6 +25,8 @@
  */
 public record Listed(long version, boolean full, List<Entry> entries, Map<String, InetSocketAddress> addresses) {
 
+    private static final int MOST_CHARS = 200; // of what is told of a fault: it may quote all that was read
+
     /** Reads one JSON text, and by the letter: what is no JSON is told as an {@link IllegalArgumentException}. */
     public static Listed read(String text, List<String> kinds, Zones zones) {
         JsonReader reader = new JsonReader(new StringReader(text));
@@ -36,7 +38,7 @@
                 throw new IllegalArgumentException("not a list: something follows it");
             }
         } catch (JsonParseException | IllegalStateException | IOException e) {
-            throw new IllegalArgumentException("not a list: " + e.getMessage(), e);
+            throw bad("not a list: ", e);
         }
         return read(object, kinds, zones);
     }
@@ -62,10 +64,16 @@
             boolean full = !object.has("full") || object.get("full").getAsBoolean();
             return new Listed(member(object, "version").getAsLong(), full, entries, addresses);
         } catch (IllegalArgumentException | IllegalStateException | UnsupportedOperationException e) {
-            throw new IllegalArgumentException("not a list of endpoints: " + e.getMessage(), e);
+            throw bad("not a list of endpoints: ", e);
         }
     }
 
+    private static IllegalArgumentException bad(String what, Exception e) {
+        String why = String.valueOf(e.getMessage());
+        return new IllegalArgumentException(what + (why.length() <= MOST_CHARS ? why
+                : why.substring(0, MOST_CHARS) + "...").replaceAll("\\s+", " "));
+    }
+
     /** A weight that no endpoint can have would stop all calls, or pace none. */
     private static double weight(double told) {
         if (!(told >= 0 && told < Integer.MAX_VALUE)) {
--- a/src/main/java/firstair/settings/Facts.java
+++ b/src/main/java/firstair/settings/Facts.java
@@ -22,8 +22,8 @@
 
     /** Reads all settings; a value that cannot be read ends in the exception of {@link Fields#bad}. */
     public static Settings read(Fields s) {
-        return new Settings(Math.max(1, (int) s.whole("groupSize", 1)), (int) s.whole("slotNo", 0),
-                (int) s.whole("az", 0), s.text("discovery", "push").equals("ask"),
+        return new Settings(Math.max(1, count(s, "groupSize", 1)), count(s, "slotNo", 0),
+                count(s, "az", 0), s.text("discovery", "push").equals("ask"),
                 choice(s, "weightKind", "none", "nominal", Weight.NOMINAL, "rough", Weight.ROUGH, Weight.NONE),
                 limitsTold(s),
                 choice(s, "familyInfo.late", "linear", "halving", LateCurve.HALVING, "", null, LateCurve.LINEAR),
@@ -60,25 +60,26 @@
         String[] bundle = s.text("familyInfo.bundleMax", "").split(",");
         List<Kind> all = new ArrayList<>();
         for (int i = 0; i < Math.max(apart.length, bundle.length); i++) {
-            int most = 1;
+            long most = 1;
             if (i < bundle.length && !bundle[i].isEmpty()) {
                 try {
-                    most = Integer.parseInt(bundle[i]);
+                    most = Long.parseLong(bundle[i]);
                 } catch (NumberFormatException e) {
                     throw s.bad("familyInfo.bundleMax", "not a whole number: " + bundle[i]);
                 }
             }
-            all.add(new Kind(i < apart.length && apart[i].equals("true"), Math.max(1, most)));
+            boolean routes = i < apart.length && (apart[i].equals("true") || apart[i].equals("1"));
+            all.add(new Kind(routes, Math.max(1, within(most))));
         }
         return all;
     }
 
     private static Limits limits(Fields s) {
-        return new Limits((int) s.whole("familyInfo.maxCalls", 0), (int) s.whole("limits.maxOpen", 0),
-                (int) s.whole("limits.maxAttempts", 0), s.flag("limits.cancelling", false),
+        return new Limits(count(s, "familyInfo.maxCalls", 0), count(s, "limits.maxOpen", 0),
+                count(s, "limits.maxAttempts", 0), s.flag("limits.cancelling", false),
                 s.flag("limits.probes", false), s.flag("limits.peers", false), s.flag("limits.retryAfter", false),
                 s.number("limits.maxRetryAfter", 0), s.flag("limits.mayDuplicate", false),
-                (int) s.whole("limits.multiplex", 1), s.number("limits.connectTimeout", 0),
+                count(s, "limits.multiplex", 1), s.number("limits.connectTimeout", 0),
                 s.number("limits.connIdle", 0));
     }
 
@@ -89,6 +90,15 @@
                 s.number("safety.overloadFor", 0), s.number("safety.settleAfterDoubt", 0));
     }
 
+    private static int count(Fields s, String name, int absent) {
+        return within(s.whole(name, absent));
+    }
+
+    /** What counts more than can be counted imposes nothing; cut to its lower bits it would impose anything. */
+    private static int within(long whole) {
+        return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, whole));
+    }
+
     private static <T> T choice(Fields s, String name, String absent, String a, T forA, String b, T forB, T other) {
         String v = s.text(name, absent);
         return v.equals(a) ? forA : v.equals(b) ? forB : other;
--- a/src/test/java/firstair/relay/RelayProcessTest.java
+++ b/src/test/java/firstair/relay/RelayProcessTest.java
@@ -516,7 +516,7 @@
         node.start();
         node.leaveLogUnread();
         byte[] body = new byte[1];
-        platform.noticeStatus(503); // a line for each notice, and it is repeated for ever
+        platform.noticeStatus(503); // repeated for ever
         behaviour = r -> r.answer(503);
         for (int i = 0; i < 40; i++) {
             node.handIn("x" + i, "unsafe", 100, DEST, null, body);
@@ -826,6 +826,11 @@
         "config: field settings.classes: no class | {\"listen\":\"127.0.0.1:0\",\"settings\":{}}",
         "config: field settings.limits.maxOpen: not a whole number | {\"settings\":{\"classes\":[{\"name\":\"a\"}],"
                 + "\"limits\":{\"maxOpen\":\"many\"}}}",
+        "config: field settings.classes.0.semantics: neither retryable nor | {\"settings\":{\"classes\":"
+                + "[{\"name\":\"a\",\"semantics\":\"at most once\"}]}}",
+        "config: field known: not a list of endpoints | {\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\","
+                + "\"settings\":{\"classes\":[{\"name\":\"a\"}]},\"known\":{\"version\":1,\"servers\":"
+                + "[{\"id\":\"s\",\"state\":\"up\",\"addr\":\"127.0.0.1:1\",\"cell\":\"one\\ntwo\"}]}}",
     })
     void aBadConfigurationEndsWithOneLineThatNamesTheField(String message, String config) throws Exception {
         node.config(config);
