Lines that others can bring about are logged once a minute a kind, each one short line

Read line by line: a discovery that begins a good list and spoils the next object wrote two lines a round (Watch.lost and found again), each quoting all that was read, megabytes at worst; a platform that refuses notices one for each post (Notices.end); a fault of ours one with a trace for each event that meets it (Loop, HttpLink, ClientConnection, Relay); a start with messages of a class that is gone one for each; a disk that fails now and then two for each round (Store).

Change: Seldom writes the first line of its kind, then one a minute at most, which tells how many were left out; one line of 300 characters at most. A loss that was not told is told as soon as the minute allows, and its end only where the loss was. What the relay holds of endpoints' health stays as it is.

Without it fail WatchTest.aDiscoveryThatGoesOnToSpoilItsListsDoesNotFillTheLog (10 lines in place of 1) and NoticesTest.aPlatformThatConfirmsNothingDoesNotFillTheLog (12 in place of 1). SeldomTest is new.

--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -64,6 +64,9 @@
     public record Notices(double dueMs, double returnMs, double answerMs, double leastMs, double mostMs,
             double pauseMs, double urgentPauseMs, double pauseMostMs, int bytes, int posts) { }
 
+    /** A line of the log that others can bring about at will comes once in so long; see {@link Seldom}. */
+    static final double SAME_LINE_MS = 60_000;
+
     private static final int KIB = 1024;
     private static final long BYTES_PER_MB = 1_000_000;  // the smaller reading of a megabyte
     // What stands in for a figure that the deployment does not tell.
--- a/src/main/java/firstair/relay/Loop.java
+++ b/src/main/java/firstair/relay/Loop.java
@@ -14,7 +14,7 @@
  * came, then the timers that are due, and then the round ends once for all of them.
  */
 public final class Loop {
-    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private static final Seldom FAULTS = new Seldom(Logger.getLogger(Loop.class.getName()), Level.SEVERE);
     private static final double NS_PER_MS = 1e6;
 
     /** Something to be run at a time; it can be called off. */
@@ -116,7 +116,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "fault in an event", e);
+            FAULTS.log("fault in an event", e);
         }
     }
 }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -47,6 +47,7 @@
  */
 public final class Relay implements Controller.Actions, Desk, Fellows.Listener {
     private static final Logger LOG = Logger.getLogger(Relay.class.getName());
+    private static final Seldom FAULTS = new Seldom(LOG, Level.SEVERE);
     private static final int ACCEPTED = 202;
     private static final int REFUSED = 503;
     private static final int UNKNOWN = 404;
@@ -74,6 +75,7 @@
     private final Map<String, Place> places = new HashMap<>();         // endpoints by their ids
     private final Map<Integer, Double> destinations = new HashMap<>(); // when each last had an endpoint
     private final List<Send> sends = new ArrayList<>();           // asked for in this round
+    private final Seldom overdues = new Seldom(LOG, Level.SEVERE);
     private final Object reloading = new Object();
     private final CountDownLatch ended = new CountDownLatch(1);
     private double returnedAt = Double.NEGATIVE_INFINITY; // when this process took up what the last one left
@@ -266,6 +268,7 @@
     /** What the last process had not ended: what is owed by now, and what goes on with its history. */
     private void resume() {
         double now = loop.now();
+        Seldom unknown = new Seldom(LOG, Level.WARNING); // a line for all of them
         returnedAt = now;
         long wall = System.currentTimeMillis();
         for (Store.Open o : kept.left()) {
@@ -277,7 +280,7 @@
             Integer type = classes.get(t.className());
             Held h = kept.resume(t, now + (t.deadlineAt() - wall));
             if (type == null) {
-                LOG.warning("class " + t.className() + " is no longer known, its message is given up");
+                unknown.log("class " + t.className() + " is no longer known, its messages are given up");
                 giveUp(t.id());
                 continue;
             }
@@ -355,7 +358,7 @@
         if (overdue.isEmpty()) {
             return;
         }
-        LOG.severe(overdue.size() + " messages without an end " + Math.round(limits.overdueMs())
+        overdues.log(overdue.size() + " messages without an end " + Math.round(limits.overdueMs())
                 + " ms after their time, the first is " + overdue.get(0).taken.requestId() + "; given up");
         for (Held h : overdue) {
             control.withdrawn(loop.now(), h.taken.id());
@@ -391,7 +394,7 @@
             try {
                 take(h);
             } catch (RuntimeException e) {
-                LOG.log(Level.SEVERE, "fault while taking a message", e);
+                FAULTS.log("fault while taking a message", e);
                 untaken(h);
             }
         });
@@ -569,7 +572,7 @@
         try {
             endpoints.call(endpoint, batch);
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "fault under a call", e);
+            FAULTS.log("fault under a call", e);
         }
     }
 
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -1,6 +1,7 @@
 package firstair.relay.clients;
 
 import firstair.relay.Limits;
+import firstair.relay.Seldom;
 import firstair.relay.http.Collector;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpException;
@@ -18,6 +19,7 @@
 /** One client's connection: its requests one after another, each answered before the next is looked at. */
 final class ClientConnection {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
+    private static final Seldom FAULTS = new Seldom(LOG, Level.SEVERE);
     private static final double MS_PER_S = 1000;
     private static final int ID_CHARS = 128;
     private static final byte[] NOTHING = new byte[0];
@@ -93,7 +95,7 @@
                 close();
             }
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "fault in a request", e);
+            FAULTS.log("fault in a request", e);
             turnAway(500); // a fault of ours has cut its request short, and nothing was taken on
         }
     }
--- a/src/main/java/firstair/relay/discovery/Watch.java
+++ b/src/main/java/firstair/relay/discovery/Watch.java
@@ -4,12 +4,14 @@
 import firstair.relay.HostPort;
 import firstair.relay.Limits;
 import firstair.relay.Loop;
+import firstair.relay.Seldom;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpWriter;
 import firstair.relay.net.Dialer;
 import firstair.relay.net.Link;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -36,7 +38,8 @@
     private final Listener listener;
     private long version;
     private Call call;
-    private boolean lost;
+    private final Seldom losses = new Seldom(LOG, Level.WARNING);
+    private boolean lost; // and told so
     private boolean unanswered; // discovery did not even begin to answer the last call
 
     /** @param version version of the list held, or -1 */
@@ -91,10 +94,7 @@
     }
 
     private void lost(String why) {
-        if (!lost) {
-            LOG.warning("list lost: " + why);
-        }
-        lost = true;
+        lost = lost || losses.log("list lost: " + why);
     }
 
     private void object(Call from, String text) {
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -1,5 +1,6 @@
 package firstair.relay.net;
 
+import firstair.relay.Seldom;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpException;
 import firstair.relay.http.HttpParser;
@@ -13,7 +14,7 @@
 
 /** A {@link Link} that speaks HTTP/1.1 over a connection of Grizzly's. */
 final class HttpLink implements Link {
-    private static final Logger LOG = Logger.getLogger(HttpLink.class.getName());
+    private static final Seldom FAULTS = new Seldom(Logger.getLogger(HttpLink.class.getName()), Level.SEVERE);
 
     private enum Phase { CONNECTING, WRITING, WAITING, IDLE, CLOSED }
 
@@ -64,7 +65,7 @@
         try {
             return step.get();
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "fault under a connection", e);
+            FAULTS.log("fault under a connection", e);
             return null;
         }
     }
@@ -140,7 +141,7 @@
         } catch (HttpException e) {
             fail(true);
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "fault in an answer", e); // its exchange must still hear that it is over
+            FAULTS.log("fault in an answer", e); // its exchange must still hear that it is over
             fail(true);
         }
     }
@@ -175,7 +176,7 @@
         } catch (HttpException e) {
             // falls through: an answer cut short is a broken one
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "fault at the end of an answer", e);
+            FAULTS.log("fault at the end of an answer", e);
         }
         // While a write is not complete, its last byte is not with the system: completion is told under our lock
         // or on the thread that runs here. Grizzly tells the end of a connection before that of its writes.
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -4,6 +4,7 @@
 import firstair.relay.HostPort;
 import firstair.relay.Limits;
 import firstair.relay.Loop;
+import firstair.relay.Seldom;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpWriter;
 import firstair.relay.net.Dialer;
@@ -37,6 +38,9 @@
     private InetSocketAddress address;
     private Link idle;
     private Loop.Timer again;
+    private final Seldom delays = new Seldom(LOG, Level.WARNING);
+    private final Seldom answers = new Seldom(LOG, Level.WARNING);
+    private final Seldom faults = new Seldom(LOG, Level.SEVERE);
     private boolean told; // that notices are overdue
 
     /** @param confirmed told of each message whose notice has been confirmed */
@@ -118,8 +122,7 @@
     public void sweep() {
         int late = plan.overdue(loop.now());
         if (late > 0 && !told) {
-            told = true;
-            LOG.warning(late + " notices are overdue: the platform at " + HostPort.of(address)
+            told = delays.log(late + " notices are overdue: the platform at " + HostPort.of(address)
                     + " has not confirmed them");
         }
         if (told && plan.recovered()) {
@@ -170,7 +173,7 @@
                 }
                 link = dialer.open(to, maxBody, request, this, () -> { });
             } catch (RuntimeException e) {
-                LOG.log(Level.SEVERE, "fault under a notice", e);
+                faults.log("fault under a notice", e);
                 loop.post(() -> end(NoticePlan.NONE, false));
             }
         }
@@ -187,7 +190,7 @@
                 link.leave();
             }
             if (how != NoticePlan.NONE && how != CONFIRMED) {
-                LOG.warning("platform answered a notice with " + how);
+                answers.log("platform answered a notice with " + how);
             }
             List<Long> over = plan.ended(planned, loop.now(), how);
             over.forEach(confirmed::accept);
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -1,5 +1,6 @@
 package firstair.relay.store;
 
+import firstair.relay.Seldom;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -73,6 +74,8 @@
     private long size;
     private long cost;
     private boolean behind; // the file lacks records that could not be written
+    private final Seldom failures = new Seldom(LOG, Level.SEVERE);
+    private boolean told;   // that it cannot be written
 
     private Store(Path folder, long diskBytes) {
         this.folder = folder;
@@ -96,7 +99,7 @@
         } catch (IOException e) {
             // What was read is still owed: serve it, take nothing new, and try again with each round.
             store.behind = true;
-            LOG.severe("store: cannot write: " + e);
+            store.told = store.failures.log("store: cannot write: " + e);
         }
         return store;
     }
@@ -244,15 +247,14 @@
                 append(file, bytes);
                 size += bytes.length;
             }
-            if (behind) {
+            if (told) {
                 LOG.info("store: writing again");
             }
+            told = false;
             behind = false;
             return true;
         } catch (IOException e) {
-            if (!behind) {
-                LOG.log(Level.SEVERE, "store: cannot write: " + e);
-            }
+            told = told || failures.log("store: cannot write: " + e);
             behind = true;
             return false;
         }
--- /dev/null
+++ b/src/test/java/firstair/relay/SeldomTest.java
@@ -0,0 +1,53 @@
+package firstair.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import firstair.relay.standin.LogLines;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class SeldomTest {
+    private final LogLines lines = new LogLines(SeldomTest.class);
+    private double now = 1000;
+    private final Seldom seldom = new Seldom(Logger.getLogger(SeldomTest.class.getName()), Level.WARNING, () -> now);
+
+    @AfterEach
+    void stop() {
+        lines.close();
+    }
+
+    @Test
+    void aKindOfLineComesOnceAMinuteAndTellsWhatWasLeftOut() {
+        for (int ms = 0; ms < 120_000; ms += 10) {
+            now = 1000 + ms;
+            assertThat(seldom.log("bad answer " + ms)).isEqualTo(ms % 60_000 == 0);
+        }
+        assertThat(lines.beginning("")).containsExactly("bad answer 0",
+                "bad answer 60000 (5999 such lines before it were left out)");
+    }
+
+    @Test
+    void whateverOthersSayItIsOneLineOfBoundedLength() {
+        seldom.log("list lost: not\na list\r\n" + "x".repeat(100_000));
+        assertThat(lines.beginning("")).singleElement().asString().startsWith("list lost: not a list xxx")
+                .hasSizeLessThan(400);
+    }
+
+    /** Others can bring a fault about with each event of theirs. */
+    @Test
+    void aLoopThatFailsInEachEventDoesNotFillTheLog() throws Exception {
+        try (LogLines faults = new LogLines(Loop.class)) {
+            Loop loop = new Loop(0);
+            for (int i = 0; i < 50; i++) {
+                loop.post(() -> {
+                    throw new IllegalStateException("again");
+                });
+            }
+            loop.post(loop::end);
+            loop.run(() -> { });
+            assertThat(faults.beginning("fault in an event")).hasSizeLessThan(2);
+        }
+    }
+}
--- a/src/test/java/firstair/relay/discovery/WatchTest.java
+++ b/src/test/java/firstair/relay/discovery/WatchTest.java
@@ -16,6 +16,7 @@
 import firstair.relay.net.Wire;
 import firstair.relay.standin.Await;
 import firstair.relay.standin.FaultyDialer;
+import firstair.relay.standin.LogLines;
 import firstair.relay.standin.LoopThread;
 import firstair.relay.standin.Platform;
 import firstair.relay.standin.ShortTimes;
@@ -101,6 +102,30 @@
         assertThat(change.listed().entries().get(0).listing()).isEqualTo(Listing.LEAVING);
     }
 
+    /** Each watch that begins well and goes wrong is news, and all together are one line of the log. */
+    @Test
+    void aDiscoveryThatGoesOnToSpoilItsListsDoesNotFillTheLog() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        server = new StandIn(r -> {
+            String whole = Platform.list(41 + calls.incrementAndGet(), true, "s1 7 127.0.0.1:1") + "\n";
+            String spoilt = "{\"version\":1,\"servers\":\"" + "x".repeat(5000) + "\"}\n";
+            r.write((HEAD + Integer.toHexString(whole.length() + spoilt.length()) + "\r\n" + whole + spoilt + "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+        });
+        try (LogLines lines = new LogLines(Watch.class)) {
+            Watch w = watch(41);
+            for (int i = 0; i < 10; i++) {
+                assertThat(next().news()).isEqualTo(News.COMPLETE);
+                assertThat(next().news()).isEqualTo(News.FAILED);
+                loop.post(w::listen);
+            }
+            assertThat(next().news()).isEqualTo(News.COMPLETE);
+            assertThat(lines.beginning("list lost: not a list of endpoints")).singleElement().asString()
+                    .hasSizeLessThan(400);
+            assertThat(lines.beginning("list found again")).hasSize(1);
+        }
+    }
+
     @Test
     void withAListItWatchesFromItsVersion() throws Exception {
         BlockingQueue<String> targets = new LinkedBlockingQueue<>();
--- a/src/test/java/firstair/relay/platform/NoticesTest.java
+++ b/src/test/java/firstair/relay/platform/NoticesTest.java
@@ -5,6 +5,7 @@
 import firstair.relay.Limits;
 import firstair.relay.Loop;
 import firstair.relay.net.Wire;
+import firstair.relay.standin.LogLines;
 import firstair.relay.standin.LoopThread;
 import firstair.kit.standin.StandIn;
 import firstair.relay.store.Owed;
@@ -49,6 +50,18 @@
         platform.close();
     }
 
+    /** Each is posted until it is confirmed; that it is not is told once, however often. */
+    @Test
+    void aPlatformThatConfirmsNothingDoesNotFillTheLog() throws Exception {
+        platform(r -> r.answer(calls.get() <= 12 ? 503 : 204));
+        try (LogLines lines = new LogLines(Notices.class)) {
+            loop.post(() -> notices.add(1, "r1", new Owed(false, 0), loop.now() + 20_000));
+            assertThat(confirmed.poll(20, TimeUnit.SECONDS)).isEqualTo(1);
+            assertThat(calls.get()).isGreaterThan(12);
+            assertThat(lines.beginning("platform answered a notice with 503")).hasSize(1);
+        }
+    }
+
     private void platform(StandIn.Handler handler) throws IOException {
         platform = new StandIn(r -> {
             posts.add(r.method() + " " + r.target() + " " + new String(r.body(), StandardCharsets.UTF_8));
