A call whose end crosses its time-out is no call that never ran

Seen by reading, then forced: the selector's thread tells the end of a call by an event. If it comes while the loop runs the events of a round whose timers are due, the time-out runs first. It asked the connection whether its request was out (HttpLink.leave: writing or waiting), and a connection that has answered or broken has none out: false, taken for "never arrived", so CONNECT_FAILED (Endpoints.Call.leave). The event behind it found the call over. So a reset, a 500, a 410 or the whole answer of a call with several messages that met its time-out, or the end of the 50 ms behind it, was told as a call that never ran: an unsafe message was sent a second time, and messages that had been delivered together were sent on after their end. An answer that became whole as its 0.2 s ended was told as RESET.

Change: a call notes on the selector's thread that its connection has told its end (Call.ending). Time-outs of the call, of one of its messages and of an answer that has begun leave it to that event, which is the next thing that the loop hears. Order for the race that is left: the link is left under its lock, and the note looked at behind it.

Ruled out: the events of one round run before its timers, so what is in the round's inbox is not affected; a single 200 was safe by its first line.

--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -143,6 +143,7 @@
         private boolean fresh; // on a connection of its own making
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
+        private volatile boolean ending; // the connection has told its end, and the loop is yet to hear it
         private volatile int first; // status of a first line that has come
         private volatile Head head;
 
@@ -166,7 +167,11 @@
                 // Messages of a call share its fate, but none is waited for beyond its own time.
                 double left = i.deadlineAt() - startedAt;
                 if (bundle && left < patience) {
-                    timers.add(loop.after(left, () -> end(i, new Answers.End(Result.TIMEOUT, false), 0, Load.NONE)));
+                    timers.add(loop.after(left, () -> {
+                        if (!ending) {
+                            end(i, new Answers.End(Result.TIMEOUT, false), 0, Load.NONE);
+                        }
+                    }));
                 }
             }
             InetSocketAddress to = addresses.get(endpoint);
@@ -244,10 +249,7 @@
         public void begun() {
             loop.post(() -> {
                 if (!over) {
-                    timers.add(loop.after(limits.answerMs(), () -> {
-                        link.leave();
-                        ended(Result.RESET);
-                    }));
+                    timers.add(loop.after(limits.answerMs(), () -> leave(Result.RESET)));
                 }
             });
         }
@@ -272,11 +274,13 @@
         @Override
         public void done(boolean reusable, boolean alone) {
             double at = loop.now();
+            ending = true;
             loop.post(() -> answered(at, reusable, alone));
         }
 
         @Override
         public void broken(boolean maybeArrived) {
+            ending = true;
             loop.post(() -> ended(expired ? Result.TIMEOUT : maybeArrived ? Result.RESET : Result.CONNECT_FAILED));
         }
 
@@ -329,14 +333,21 @@
             }
             if (link != null && link.halt()) {
                 expired = true;
-                timers.add(loop.after(limits.haltMs(), this::leave));
+                timers.add(loop.after(limits.haltMs(), () -> leave(Result.TIMEOUT)));
             } else {
-                leave();
+                leave(Result.TIMEOUT);
             }
         }
 
-        private void leave() {
-            ended(link != null && link.leave() ? Result.TIMEOUT : Result.CONNECT_FAILED);
+        /**
+         * Waits no longer. A connection that has told the end of the call by now, behind the events of this round, is
+         * not asked: it has nothing out any more, which is no sign that the request never arrived.
+         */
+        private void leave(Result sent) {
+            boolean arrived = !ending && link != null && link.leave();
+            if (!ending) {
+                ended(arrived ? sent : Result.CONNECT_FAILED);
+            }
         }
 
         /** What became of it is not known; it never ran only where it has no connection that came up. */
