A call given up before its last byte stays unwritten

Seen in a forced test: a peer that reads nothing of a large request, and a call that times out or is answered while its bytes wait in the process. HttpLink.close ended the connection with Grizzly's closeSilently, which is graceful: it queues the close behind what is still to be written. So the rest went out whenever the peer read on, and the last byte of a call arrived after the message had been ended, by then perhaps with its notice: it was sent on after its end.

Change: terminateSilently, which closes at once. On an idle connection and on one whose request is with the system nothing is queued, and both are the same.

--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -213,7 +213,7 @@
         phase = Phase.CLOSED;
         guarded(() -> {
             if (connection != null) {
-                connection.closeSilently();
+                connection.terminateSilently(); // a close would first write what is left of a request, whenever it can
             } else if (opening != null) {
                 opening.cancel(true); // or its descriptor would be held until the system gives the connection up
             }
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -428,6 +428,44 @@
         once();
     }
 
+    /** It is believed, and its connection not used again: the endpoint would take what is left for the next request. */
+    @ParameterizedTest
+    @CsvSource({"503, FULL", "200, OK", "413, ERROR"})
+    void anAnswerBeforeTheLastByteEndsTheCallAndItsConnection(int status, Result result) throws Exception {
+        call(item(1, LONG_MS, LARGE));
+        Socket s = accepted();
+        assertThat(s.getInputStream().read()).isEqualTo('P');
+        write(s, "HTTP/1.1 " + status + " x\\nContent-Length: 0\\n\\n");
+        assertThat(next().result()).isEqualTo(result);
+        assertThat(rest(s)).as("bytes of a request that was cut").isLessThan(LARGE);
+        once();
+    }
+
+    /** Its last byte would arrive whenever the endpoint reads on, long after the message has had its end. */
+    @Test
+    void aCallThatIsGivenUpBeforeItsLastByteNeverArrives() throws Exception {
+        call(item(1, 500, LARGE));
+        Socket s = accepted();
+        assertThat(s.getInputStream().read()).isEqualTo('P');
+        assertThat(next().result()).isEqualTo(Result.TIMEOUT);
+        assertThat(rest(s)).as("bytes of a request that was cut").isLessThan(LARGE);
+        once();
+    }
+
+    /** How many bytes still come until the connection ends. */
+    private static long rest(Socket s) {
+        long came = 0;
+        byte[] some = new byte[1 << 16];
+        try {
+            for (int n = s.getInputStream().read(some); n >= 0; n = s.getInputStream().read(some)) {
+                came += n;
+            }
+        } catch (IOException e) {
+            // reset
+        }
+        return came;
+    }
+
     /** It came up, and was reset before its first byte or just behind its last. */
     @Test
     void aConnectionThatIsResetAtOnceEndsTheCallOnce() throws Exception {
