A kept connection is looked at before the next call is written to it

Forced: an endpoint ends or resets a kept connection, or writes an answer that nobody asked for, and the selector's thread has not come to it when the loop writes the next call there. With one thread of a process running at a time that is no rare order. HttpLink.send asked for the phase and isOpen alone, which know of it only once it has been read. The call was lost (RESET, unknown outcome, an unsafe message is given up); worse, the stray answer was taken for the call's own, and a stray 503 says that nothing ran: the message would be sent again beside its call.

Change: before a request is written to a kept connection, one byte is read there (Wire.quiet). If a byte, an end or a break is found the connection is closed and another one taken, as for one that is known to have ended.

What is left: what the selector's thread has read and not yet handed on, and what comes behind the look.

Result: whatHasComeOnAKeptConnectionIsSeenBeforeTheNextCallGoes waits until /proc/net/tcp shows that it has come. All four cases fail without the mend: no further connection is opened ("Accept timed out").

--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -84,6 +84,12 @@
         if (phase != Phase.IDLE || !connection.isOpen()) {
             return false;
         }
+        if (!Wire.quiet(connection)) {
+            // Ended, or out of step, and the selector has not come to it yet: a request written there would be lost, or
+            // get the answer that nobody asked for.
+            close();
+            return false;
+        }
         exchange = next;
         begun = false;
         write(request);
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -1,6 +1,7 @@
 package firstair.relay.endpoints;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import firstair.config.Read;
 import firstair.control.Controller.Outcome;
@@ -10,6 +11,7 @@
 import firstair.relay.Own;
 import firstair.relay.net.Wire;
 import firstair.relay.standin.Await;
+import firstair.relay.standin.Kernel;
 import firstair.relay.standin.LoopThread;
 import firstair.relay.standin.SelectorGate;
 import firstair.relay.standin.ShortTimes;
@@ -273,6 +275,31 @@
 
     // ---- a kept connection and the next call ----
 
+    /**
+     * It came before the next call was written, and nobody has read it. On a connection that has ended that call would
+     * be lost; an answer that nobody asked for would be taken for its own, and a refusal have it sent twice.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"end", "reset", "HTTP/1.1 503 x\\nContent-Length: 0\\n\\n", "HTTP/1.1 5"})
+    void whatHasComeOnAKeptConnectionIsSeenBeforeTheNextCallGoes(String what) throws Exception {
+        assumeTrue(Kernel.tells());
+        Socket first = kept();
+        Kernel.Other ours = Kernel.other(first);
+        selector.hold();
+        act(first, what);
+        Await.until("it is with the system", ours::waits);
+        call(item(2, LONG_MS, 1));
+        settled();
+        selector.release();
+        Socket second = accepted();
+        assertThat(request(second)).contains("Request-Id: r2");
+        write(second, "HTTP/1.1 200 x\\nContent-Length: 0\\n\\n");
+        Outcome o = next();
+        assertThat(o.id()).isEqualTo(2);
+        assertThat(o.result()).isEqualTo(Result.OK);
+        once();
+    }
+
     /** A connection that has carried one call and rests no longer. */
     private Socket kept() throws Exception {
         call(item(1, LONG_MS, 1));
