What waits unread at a time-out is read before the call is given up

Forced: an answer is written before the time-out, and the selector's thread has not read it when the loop gives the call up, nor 50 ms later. The call was told as TIMEOUT and the bytes dropped with the connection (HttpLink.leave): a told wait was not heard of and did not bind, a delivered message was taken for one in doubt and repeated or given up.

Change: a link reads what has come when a call on it is given up (halt) and again when its end is waited for no longer. Watches and notices do not halt and are not affected. What is read is bounded by the parser's limits.

Result: whatWaitsUnreadAtTheTimeOutIsLookedAt holds the selector all the time; without the mend "expected: FULL but was: TIMEOUT", and the same for OK and ERROR.

--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -15,6 +15,8 @@
 final class HttpLink implements Link {
     private static final Logger LOG = Logger.getLogger(HttpLink.class.getName());
 
+    private static final int LOOK_BYTES = 4096; // answers are shorter
+
     private enum Phase { CONNECTING, WRITING, WAITING, IDLE, CLOSED }
 
     private final HttpParser parser;
@@ -199,6 +201,9 @@
 
     @Override
     public synchronized boolean leave() {
+        if (halted) {
+            look();
+        }
         boolean sent = phase == Phase.WRITING || phase == Phase.WAITING;
         exchange = null;
         close();
@@ -207,6 +212,7 @@
 
     @Override
     public synchronized boolean halt() {
+        look();
         if (phase != Phase.WAITING) {
             return false;
         }
@@ -215,6 +221,17 @@
         return true;
     }
 
+    /** Reads what the selector has not come to yet: an answer that was written in time counts. */
+    private void look() {
+        while (phase == Phase.WAITING) {
+            byte[] bytes = Wire.unread(connection, LOOK_BYTES);
+            if (bytes.length == 0) {
+                return;
+            }
+            received(bytes);
+        }
+    }
+
     private void close() {
         phase = Phase.CLOSED;
         guarded(() -> {
--- a/src/main/java/firstair/relay/net/Wire.java
+++ b/src/main/java/firstair/relay/net/Wire.java
@@ -121,7 +121,10 @@
         }
     }
 
-    /** What has come and waits to be read, up to a size; empty if nothing has. On the selector's thread only. */
+    /**
+     * What has come and waits to be read, up to a size; empty if nothing has. On the selector's thread, or where a read
+     * that it has just done matters no more.
+     */
     public static byte[] unread(Connection<?> connection, int most) {
         ByteBuffer bytes = ByteBuffer.allocate(most);
         try {
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -257,6 +257,23 @@
         once();
     }
 
+    /** Nobody has read it, but it was written in time: a wait in it binds, and what is delivered is over. */
+    @ParameterizedTest
+    @CsvSource({"HTTP/1.1 429 x\\nRetry-After: 0.5\\nContent-Length: 0\\n\\n, FULL",
+        "HTTP/1.1 200 x\\nContent-Length: 9\\n\\nabc, OK", "HTTP/1.1 500 x\\nContent-Length: 0\\n\\n, ERROR"})
+    void whatWaitsUnreadAtTheTimeOutIsLookedAt(String what, Result result) throws Exception {
+        call(item(1, 500, 1));
+        Socket s = accepted();
+        request(s);
+        selector.hold();
+        write(s, what);
+        Outcome o = next();
+        assertThat(o.result()).isEqualTo(result);
+        assertThat(o.waitMs()).isEqualTo(result == Result.FULL ? 500 : 0);
+        selector.release();
+        once();
+    }
+
     @Test
     void anAnswerThatComesWithACancelDoesNotEndTheCallTwice() throws Exception {
         call(item(1, LONG_MS, 1));
