An interim answer does not begin an answer's time

An answer that has begun has 0.2 s to be whole. HttpLink told its begin with the first bytes, also where these were a 1xx answer: an endpoint that says 102 and works on for longer than 0.2 s had its call ended as RESET, an unsafe message was given up and any other sent again beside the call that was at work.

Change: HttpParser.begun is false between interim answers and the real one. One that comes in pieces begins the time as before, since it cannot be told from noise.

Result: anInterimAnswerDoesNotBeginTheAnswer; without the mend "expected: FULL but was: RESET".

--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -64,6 +64,11 @@
         return state == State.START && lineLength == 0 && headBytes == 0;
     }
 
+    /** Whether something has come of a message that is no interim answer, or may be none. */
+    public boolean begun() {
+        return state != State.START || lineLength > 0;
+    }
+
     /** Takes bytes up to the end of a message and returns how many those are. */
     public int feed(byte[] bytes, int offset, int length) throws HttpException {
         int at = offset;
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -141,7 +141,7 @@
             int used = parser.feed(bytes, 0, bytes.length);
             if (answered) {
                 answered(used == bytes.length && head.keepAlive(), used == bytes.length);
-            } else if (!begun) {
+            } else if (!begun && parser.begun()) {
                 begun = true;
                 exchange.begun();
             }
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -447,6 +447,23 @@
         once();
     }
 
+    /** Who says that it works on the call has not begun its answer. */
+    @Test
+    void anInterimAnswerDoesNotBeginTheAnswer() throws Exception {
+        call(item(1, LONG_MS, 1));
+        Socket s = accepted();
+        request(s);
+        write(s, "HTTP/1.1 102 x\\n\\n");
+        selector.pass();
+        settled();
+        double from = loop.now();
+        Await.until("an answer's time is over", () -> loop.now() - from > 2 * limits.answerMs());
+        settled();
+        write(s, "HTTP/1.1 503 x\\nContent-Length: 0\\n\\n");
+        assertThat(next().result()).isEqualTo(Result.FULL);
+        once();
+    }
+
     // ---- the request's last byte ----
 
     @ParameterizedTest
