A fault under the second of two hand-ins of one id refuses it

Relay.take looks again at a hand-in whose id came in the same round once the first has its end, by an event of its own without the guard that handIn puts around it. A fault there was logged, the message stayed among those taken in the round, and its client was told 202 for a message that the decisions did not hold; it was given up 0.15 s after its time.

Change: the second look goes through handIn. It cannot spin: the first has its end with the round, and only a round that fails leaves it without one, at most once a round.

Result: HandOverTest holds up the loop while a message is taken, so that crossings share a round. Without the mend aFaultUnderTheSecondOfTwoHandInsOfOneIdRefusesIt gets 202. The other crossings hold and needed no mend: two hand-ins of one id are one message and both clients hear of it, marked or not, also while its call is out; refused, it is refused to both; an unsafe one that a relay failed to answer gets 504 and no call; a client gone before its message is looked at leaves nothing; one gone before its 202 leaves one call and one notice; an end told twice is one in time.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -416,7 +416,7 @@
             if (known.client == null) {
                 h.answer(ACCEPTED, 0); // the client did not hear it
             } else {
-                loop.post(() -> take(h)); // not stored yet: its fate is known after this round
+                handIn(h); // not stored yet: its fate is known after this round
             }
             return;
         }
