--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -15,6 +15,8 @@
 final class HttpLink implements Link {
     private static final Logger LOG = Logger.getLogger(HttpLink.class.getName());
 
+    private static final int LOOK_BYTES = 4096; // answers are shorter
+
     private enum Phase { CONNECTING, WRITING, WAITING, IDLE, CLOSED }
 
     private final HttpParser parser;
@@ -84,6 +86,12 @@
         if (phase != Phase.IDLE || !connection.isOpen()) {
             return false;
         }
+        if (!Wire.quiet(connection)) {
+            // Ended, or out of step, and the selector has not come to it yet: a request written there would be lost, or
+            // get the answer that nobody asked for.
+            close();
+            return false;
+        }
         exchange = next;
         begun = false;
         write(request);
@@ -133,7 +141,7 @@
             int used = parser.feed(bytes, 0, bytes.length);
             if (answered) {
                 answered(used == bytes.length && head.keepAlive(), used == bytes.length);
-            } else if (!begun) {
+            } else if (!begun && parser.begun()) {
                 begun = true;
                 exchange.begun();
             }
@@ -193,6 +201,9 @@
 
     @Override
     public synchronized boolean leave() {
+        if (halted) {
+            look();
+        }
         boolean sent = phase == Phase.WRITING || phase == Phase.WAITING;
         exchange = null;
         close();
@@ -201,6 +212,7 @@
 
     @Override
     public synchronized boolean halt() {
+        look();
         if (phase != Phase.WAITING) {
             return false;
         }
@@ -209,11 +221,22 @@
         return true;
     }
 
+    /** Reads what the selector has not come to yet: an answer that was written in time counts. */
+    private void look() {
+        while (phase == Phase.WAITING) {
+            byte[] bytes = Wire.unread(connection, LOOK_BYTES);
+            if (bytes.length == 0) {
+                return;
+            }
+            received(bytes);
+        }
+    }
+
     private void close() {
         phase = Phase.CLOSED;
         guarded(() -> {
             if (connection != null) {
-                connection.closeSilently();
+                connection.terminateSilently(); // a close would first write what is left of a request, whenever it can
             } else if (opening != null) {
                 opening.cancel(true); // or its descriptor would be held until the system gives the connection up
             }
