A return asks with one call for 0.7 s, not for as long as that call hangs

Cause: a relay that took up messages it had tried before makes one call to a unit until one has ended there (Control.open, `returned && !u.heard`). The call's time-out was the only bound, 2.4 s where no call has been seen, however many endpoints the unit has. Untried messages with less time left ended with no call, though a sibling would have answered. Ruled out: a told wait that is learned late needs it for longer, since an answer that comes within 0.7 s of the call is still heard first.

Change: the one call keeps the others back for SILENT_MS; then the next goes, to the endpoint with the least out. Where waiting alone opens an endpoint, one method asks for the wake-up (three copies less).

Result: RestartTest.whatWasNeverTriedIsNotHeldPastItsTimeByOneCallThatHangs; without the mend one call was made where six were expected, and the five untried messages were refused.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -810,12 +810,11 @@
     /** Whether a new call may go to this endpoint now; asks for a wake-up when time alone will open it. */
     private boolean open(double now, Endpoint e, Lane lane) {
         Unit u = e.unit;
-        if (u.waitUntil > now) {
-            wake(u.waitUntil);
-            return false;
-        }
-        // A return knows of no wait, and what was held comes with it: the first call asks for all of them.
-        if (returned && !u.heard && u.endpoints.stream().anyMatch(x -> x.inflight > 0)) { return false; }
+        // A return knows of no wait, and what was held comes with it: the first call asks for all of them. It
+        // has a while for that: if it hangs, they would be held past their time.
+        double asks = !returned || u.heard ? NEVER : u.endpoints.stream().filter(x -> x.inflight > 0)
+                .mapToDouble(x -> x.round.sentAt + SILENT_MS).max().orElse(NEVER);
+        if (u.waitUntil > now || asks > now) { return later(Math.max(u.waitUntil, asks)); }
         if (e.down) {
             boolean onTrial = u.endpoints.stream().anyMatch(x -> x.down && x.inflight > 0); // one at a time
             if (!onTrial && e.trialAt > now) { wake(e.trialAt); }
@@ -838,18 +837,16 @@
             }
         }
         if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
-            if (e.doorAt > now) {
-                wake(e.doorAt);
-                return false;
-            }
+            if (e.doorAt > now) { return later(e.doorAt); }
             if (e.inflight >= e.places) { return false; } // the next end opens it
         }
         refill(now, u);
-        if (lane == null && u.tokens < 1) {
-            wake(now + (1 - u.tokens) / u.pace * 1000);
-            return false;
-        }
-        return true;
+        return lane != null || u.tokens >= 1 || later(now + (1 - u.tokens) / u.pace * 1000);
+    }
+
+    private boolean later(double at) {
+        wake(at);
+        return false;
     }
 
     private void send(double now, Msg m, Endpoint e) {
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -100,6 +100,23 @@
         assertThat(fresh.sent).hasSize(3);
     }
 
+    /** The first call asks for all, but not for longer than an answer takes: it may hang where others would answer. */
+    @Test
+    void whatWasNeverTriedIsNotHeldPastItsTimeByOneCallThatHangs() {
+        Bench b = relay(Bench.SAFE);
+        b.resume(0, 9_000, new Try("1/0/a", b.now - 100, false));
+        for (int i = 0; i < 5; i++) { b.resume(0, 1_500); }
+        b.decide();
+        assertThat(b.out).hasSize(1);
+        Bench.Sent hangs = b.out.remove(0); // of it nothing is heard
+        b.run(690, Result.OK, 20);
+        assertThat(b.sent).hasSize(1);
+        b.run(200, Result.OK, 20);
+        assertThat(b.sent).hasSize(6);
+        assertThat(b.sent.get(1).endpoint()).isNotEqualTo(hangs.endpoint());
+        assertThat(b.refused).isEmpty();
+    }
+
     @Test
     void pausesGoOnGrowing() {
         Bench b = relay(Bench.SAFE);
