A call that was never seen is guessed to take 0.3 of its class's time at most

Cause: a process that has just started guesses 0.3 s for a call (DEFAULT_CALL_MS), and Control.drop ends a message with less time left than a call takes.

Change: the guess is also at most 0.3 of the class's time; what is learned is not touched.

Result: RestartTest.whatWasNeverTriedAndHasHalfOfAShortTimeLeftIsTried; without the mend no call was made.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -17,6 +17,7 @@
     private static final double SICK_CAP = 0.5;            // the same while it fails or is slow
     // Time-outs and call durations.
     private static final double DEFAULT_CALL_MS = 300;     // usual call before any was seen
+    private static final double UNSEEN_CALL = 0.3;         // but at most this part of the class's time
     private static final double LEARN = 0.1;               // weight of a new duration in the usual one
     private static final double LEARN_PACE = 0.3;          // weight of a new call in an endpoint's slowness
     private static final double OUTLIER = 3;               // a duration counts for at most so many usual ones
@@ -213,7 +214,10 @@
         random = new Random(seed);
         renewals = new Random(~seed);
         classUsual = new double[settings.classes().size()];
-        Arrays.fill(classUsual, DEFAULT_CALL_MS);
+        Arrays.setAll(classUsual, k -> {
+            double most = UNSEEN_CALL * settings.classes().get(k).deadlineMs();
+            return most > 0 ? Math.min(DEFAULT_CALL_MS, most) : DEFAULT_CALL_MS;
+        });
         crowdedUntil = new double[Math.max(1, settings.kinds().size())];
         Arrays.fill(crowdedUntil, NEVER);
         turnedAt = crowdedUntil.clone();
@@ -683,20 +687,15 @@
         int most = cfg.limits().maxOpen();
         int over = held.size() - most + Math.max(1, (int) (most * ROOM));
         if (most <= 0 || over <= 0) { return; }
-        List<Msg> waiting = new ArrayList<>(held.values());
-        waiting.removeIf(m -> m.out);
-        waiting.forEach(m -> m.rank = hope(now, m));
-        waiting.sort(Comparator.comparingDouble((Msg m) -> m.rank));
-        waiting.subList(0, Math.min(over, waiting.size())).forEach(m -> answer(m, MOST_TRIAL_MS));
+        held.values().forEach(m -> m.rank = hope(now, m));
+        held.values().stream().filter(m -> !m.out).sorted(Comparator.comparingDouble(m -> m.rank)).limit(over)
+                .toList().forEach(m -> answer(m, MOST_TRIAL_MS));
     }
 
     /** Worth still to be won by a waiting message: less where its destination is sick. */
     private double hope(double now, Msg m) {
-        double delay = FOREVER;
-        for (Endpoint e : m.active()) {
-            delay = Math.min(delay, Math.max(0, e.unit.waitUntil - now)
-                    + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0));
-        }
+        double delay = m.active().stream().mapToDouble(e -> Math.max(0, e.unit.waitUntil - now)
+                + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0)).min().orElse(FOREVER);
         return delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
     }
 
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -117,6 +117,17 @@
         assertThat(b.refused).isEmpty();
     }
 
+    /** A process that has just started knows of no call how long it takes, and a short time is soon half over. */
+    @Test
+    void whatWasNeverTriedAndHasHalfOfAShortTimeLeftIsTried() {
+        MessageClass s = Bench.SAFE;
+        Bench b = relay(new MessageClass("short", s.effect(), s.scope(), false, false, 200, 0, 500, 0, 1, 0.3));
+        b.resume(0, 250);
+        b.decide();
+        assertThat(b.sent).hasSize(1);
+        assertThat(b.refused).isEmpty();
+    }
+
     @Test
     void pausesGoOnGrowing() {
         Bench b = relay(Bench.SAFE);
