--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -296,7 +296,7 @@
         returned |= m.tries > 0;
         for (Try t : message.tried()) { // of this relay before a restart; what may have run still may
             if (!t.maybeRan() || m.inDoubt()) { continue; }
-            m.doubtAt = t.sentAt();
+            m.doubtAt = t.sentAt() > now ? NEVER : t.sentAt(); // a clock set back: no window holds
             m.doubtZone = endpoints.containsKey(t.endpoint()) ? endpoints.get(t.endpoint()).zone : -1;
         }
         held.put(message.id(), m);
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -128,6 +128,16 @@
         assertThat(b.refused).isEmpty();
     }
 
+    /** The clock of the machine was set back: how much of the window is over, nobody knows. */
+    @Test
+    void aKeyedMessageWhoseCallLiesAheadIsGivenUp() {
+        Bench b = relay(Bench.KEYED);
+        long id = b.resume(0, 9_000, new Try("1/0/a", b.now + 60_000, true));
+        b.decide();
+        assertThat(b.sent).isEmpty();
+        assertThat(b.givenUp).containsExactly(id);
+    }
+
     @Test
     void pausesGoOnGrowing() {
         Bench b = relay(Bench.SAFE);
