What was taken on no longer makes room for as much that could be refused

Ruled out: a start alone never makes room, since a process keeps no more than the next one may hold.

Messages of sick destinations still go before healthy ones.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -82,6 +82,8 @@
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
     private static final double CROWD_WORTH = 1;           // the same where not all that waits can go
     private static final double ROOM = 0.06;               // share of the open messages kept free
+    private static final double KEEP = 0.7;                // of its time, before which a return is dear:
+    private static final double RETURN = 0.3;              // it costs this part of the worth
     private static final double ASK_AGAIN_MS = 400;        // first pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
     private static final double FORGET_MS = 10_000;        // what comes back on the list sooner is known
@@ -94,7 +96,8 @@
         double handedAt, notBefore, rank;   // first handed in, by its deadline; end of its pause; its turn
         double doubtAt = Double.NaN;        // first send that may have run, NaN if none
         int doubtZone = -1;                 // zone of that send, -1 if unknown
-        boolean out, over;                  // an attempt is in flight; the final answer is known
+        boolean out, over, kept, found;     // a call is out; the end is known; taken on; by the last process
+        double keepUntil;                   // a return of what was taken on is dear before
         Set<Integer> zones;                 // where it may be sent, null for everywhere
         Lane lane;                          // what was booked for it, null for none
 
@@ -105,6 +108,9 @@
 
         boolean inDoubt() { return !Double.isNaN(doubtAt); }
 
+        /** Whether a return costs: it was taken on, has surely not run, and much of its time is left. */
+        boolean dear(double now) { return kept && !inDoubt() && now < keepUntil; }
+
         boolean ordered() { return c.inOrder() && m.key() != null; }
     }
 
@@ -205,7 +211,7 @@
     private double nextWake;                          // earliest that this round wants
     private int askFailures;
     private double startedAt = Double.NaN;            // when the first message came
-    private boolean returned;                         // after a restart, with messages that were tried before
+    private boolean returned, decided;                // with messages tried before; a round has begun
 
     /** One relay's decisions; the same events and seed give the same actions. */
     public Control(Settings settings, long seed, Actions actions) {
@@ -288,6 +294,8 @@
         m.dest.taken++;
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
         m.notBefore = now;
+        m.keepUntil = now + KEEP * (message.deadlineAt() - now);
+        m.kept = m.found = !decided;
         // A refusal proves that an unsafe message never ran; a relay that died or was silent proves nothing.
         if (message.fromDeadRelay() || message.again() && m.c.effect() != Effect.UNSAFE) {
             m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
@@ -306,8 +314,7 @@
     @Override public void begun(double now, long id, int attempt) { } // the client has it now
 
     @Override public void withdrawn(double now, long id) {
-        Msg m = held.get(id);
-        if (m != null) { end(m); }
+        if (held.containsKey(id)) { end(held.get(id)); }
     }
 
     @Override public void share(double now, int destination, Share share) {
@@ -418,15 +425,12 @@
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
             lost -= LEARN_LOST * lost;
             e.places += MORE_PLACES; // FOREVER stays so
-            e.aways = 0;
             e.down = false;
-            e.failRun = 0;
+            e.aways = e.failRun = 0;
             e.okSentAt = Math.max(e.okSentAt, c.sentAt);
             u.okAt = now;
-            u.failRun = 0;
-            u.fulls = 0;
+            u.failRun = u.fulls = u.fullRun = 0;
             u.fullSince = Double.NaN;
-            u.fullRun = 0;
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
@@ -586,6 +590,7 @@
 
     @Override public void decide(double now) {
         nextWake = FOREVER;
+        decided = true;
         if (askAt <= now) {
             askAt = FOREVER;
             act.watchList();
@@ -597,9 +602,7 @@
         for (Msg m : new ArrayList<>(held.values())) {
             if (m.out || drop(now, m)) { continue; }
             if (m.notBefore <= now + KEEP_MS) { m.dest.waiting++; }
-            if (m.notBefore > now) {
-                wake(m.notBefore);
-            } else if (inTurn(now, m)) { ready.add(m); }
+            if (m.notBefore > now) { wake(m.notBefore); } else if (inTurn(now, m)) { ready.add(m); }
         }
         makeRoom(now);
         ready.forEach(m -> m.rank = rank(now, m));
@@ -613,6 +616,7 @@
             }
             return e.idle.isEmpty() || e.dest.waiting == 0;
         });
+        held.values().forEach(m -> m.kept = true); // behind this round its client hears so
         if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
             double in = Math.max(TICK_MS / 2, nextWake - now);
             wakeAt = now + in;
@@ -696,7 +700,9 @@
     private double hope(double now, Msg m) {
         double delay = m.active().stream().mapToDouble(e -> Math.max(0, e.unit.waitUntil - now)
                 + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0)).min().orElse(FOREVER);
-        return delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
+        // What a restart found is tried before it makes room for what can be refused instead.
+        double dear = !m.dear(now) ? 0 : m.found && m.tries == 0 ? FOREVER : RETURN * m.c.worth();
+        return dear + (delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type)));
     }
 
     private double worth(Msg m, double at) {
--- a/src/test/java/firstair/control/MechanismTest.java
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -192,6 +192,19 @@
         assertThat(answered).as("the sick destination's go first").allMatch(id -> id % 2 == 1);
     }
 
+    /** A return of what was taken on costs a part of its worth, a refusal costs nothing. */
+    @Test
+    void whatWasTakenOnMakesNoRoomForAsMuchThatIsHandedIn() {
+        Bench b = new Bench(Bench.settings(new Kind(false, 1), 4, Bench.SAFE)).endpoints("1/0/a");
+        for (int i = 0; i < 90; i++) { b.take(0, 1); }
+        b.decide();
+        b.silence(2_300); // past their aim: fresh ones would bring a little more
+        assertThat(b.refused).isEmpty();
+        for (int i = 0; i < 20; i++) { b.take(0, 1); }
+        b.decide();
+        assertThat(b.refused).hasSize(16).allMatch(id -> id > 90);
+    }
+
     @Test
     void silenceStopsFurtherCalls() {
         Bench b = new Bench(Bench.settings(new Kind(false, 1), 40, Bench.SAFE)).endpoints("1/0/a");
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -5,7 +5,9 @@
 import firstair.control.Controller.MessageClass;
 import firstair.control.Controller.Result;
 import firstair.control.Controller.Try;
+import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** Messages that a relay takes up again after a restart, with what it had tried for them. */
@@ -138,6 +140,19 @@
         assertThat(b.givenUp).containsExactly(id);
     }
 
+    /** New messages can be refused, those that were taken on can not: they are tried before they make room. */
+    @Test
+    void whatWasNeverTriedMakesNoRoomForWhatIsHandedIn() {
+        Bench b = relay(Bench.SAFE); // holds 100 messages, of which six are kept free
+        List<Long> found = LongStream.range(0, 90).mapToObj(i -> b.resume(0, 5_000)).toList();
+        b.decide();
+        b.out.clear(); // the first calls hang, the others wait for slots
+        for (int i = 0; i < 50; i++) { b.take(0, 1); }
+        b.decide();
+        assertThat(b.refused).hasSizeGreaterThan(40).doesNotContainAnyElementsOf(found);
+        assertThat(b.givenUp).isEmpty();
+    }
+
     @Test
     void pausesGoOnGrowing() {
         Bench b = relay(Bench.SAFE);
