--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -103,6 +105,41 @@
         }
     }
 
+    private static String told(Store store) {
+        return store.open().stream().map(o -> o.taken().requestId() + o.tries() + o.owed()).toList().toString();
+    }
+
+    /** Whatever step of a message a kill cuts, what the steps before it promised holds, and nothing of it does. */
+    @Test
+    void aKillAtAnyByteLeavesTheStepsBeforeIt() throws IOException {
+        Store s = reopened();
+        Path file = files().get(0);
+        List<Runnable> steps = List.of(() -> s.taken(message(1, 40)), () -> s.called(1, "e1", 11),
+                () -> s.ended(1, 0, false), () -> s.called(1, "e2", 12), () -> s.taken(message(2, 40)),
+                () -> s.ended(1, 1, true), () -> s.owed(1, new Owed(false, 0)), () -> s.called(2, "e1", 13),
+                () -> s.over(1), () -> s.over(2));
+        List<Integer> ends = new ArrayList<>(List.of((int) Files.size(file)));
+        List<String> states = new ArrayList<>(List.of(told(s)));
+        for (Runnable step : steps) {
+            step.run();
+            assertThat(s.flush()).isTrue();
+            ends.add((int) Files.size(file));
+            states.add(told(s));
+        }
+        assertThat(states.get(2)).isEqualTo("[r1[Tried[endpoint=e1, sentAt=11, maybeRan=true]]null]");
+        byte[] all = Files.readAllBytes(file);
+        int step = 0;
+        for (int cut = 0; cut <= all.length; cut++) {
+            Files.write(file, Arrays.copyOf(all, cut));
+            step += step + 1 < ends.size() && cut == ends.get(step + 1) ? 1 : 0;
+            Store again = reopened();
+            assertThat(told(again)).as("cut at %d", cut).isEqualTo(states.get(step));
+            again.close();
+            Files.delete(files().get(0));
+        }
+        assertThat(step).isEqualTo(steps.size());
+    }
+
     @Test
     void aDamagedRecordIsReportedAndTheOthersAreKept() throws IOException {
         Store s = reopened();
