--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -17,6 +17,7 @@
     private static final double SICK_CAP = 0.5;            // the same while it fails or is slow
     // Time-outs and call durations.
     private static final double DEFAULT_CALL_MS = 300;     // usual call before any was seen
+    private static final double UNSEEN_CALL = 0.3;         // but at most this part of the class's time
     private static final double LEARN = 0.1;               // weight of a new duration in the usual one
     private static final double LEARN_PACE = 0.3;          // weight of a new call in an endpoint's slowness
     private static final double OUTLIER = 3;               // a duration counts for at most so many usual ones
@@ -81,6 +82,8 @@
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
     private static final double CROWD_WORTH = 1;           // the same where not all that waits can go
     private static final double ROOM = 0.06;               // share of the open messages kept free
+    private static final double KEEP = 0.75;               // of its time, before which a return is dear (ours):
+    private static final double RETURN = 0.25;             // it weighs as much as this part of the worth (ours)
     private static final double ASK_AGAIN_MS = 400;        // pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
     private static final double FORGET_MS = 10_000;        // what comes back on the list sooner is known
@@ -93,7 +96,8 @@
         double handedAt, notBefore, rank;   // first handed in, by its deadline; end of its pause; its turn
         double doubtAt = Double.NaN;        // first send that may have run, NaN if none
         int doubtZone = -1;                 // zone of that send, -1 if unknown
-        boolean out, over;                  // an attempt is in flight; the final answer is known
+        boolean out, over, kept, found;     // a call is out; the end is known; taken on; by the last process
+        double keepUntil;                   // a return of what was taken on is dear before
         Set<Integer> zones;                 // where it may be sent, null for everywhere
         Lane lane;                          // what was booked for it, null for none
 
@@ -104,6 +108,9 @@
 
         boolean inDoubt() { return !Double.isNaN(doubtAt); }
 
+        /** Whether a return costs: it was taken on, has surely not run, and much of its time is left. */
+        boolean dear(double now) { return kept && !inDoubt() && now < keepUntil; }
+
         boolean ordered() { return c.inOrder() && m.key() != null; }
     }
 
@@ -203,7 +210,7 @@
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
     private double nextWake;                          // earliest that this round wants
     private double startedAt = Double.NaN;            // when the first message came
-    private boolean returned;                         // after a restart, with messages that were tried before
+    private boolean returned, decided;                // with messages tried before; a round has begun
 
     /** One relay's decisions; the same events and seed give the same actions. */
     public Control(Settings settings, long seed, Actions actions) {
@@ -212,7 +219,10 @@
         random = new Random(seed);
         renewals = new Random(~seed);
         classUsual = new double[settings.classes().size()];
-        Arrays.fill(classUsual, DEFAULT_CALL_MS);
+        Arrays.setAll(classUsual, k -> {
+            double most = UNSEEN_CALL * settings.classes().get(k).deadlineMs();
+            return most > 0 ? Math.min(DEFAULT_CALL_MS, most) : DEFAULT_CALL_MS;
+        });
         crowdedUntil = new double[Math.max(1, settings.kinds().size())];
         Arrays.fill(crowdedUntil, NEVER);
         turnedAt = crowdedUntil.clone();
@@ -283,6 +293,8 @@
         m.dest.taken++;
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
         m.notBefore = now;
+        m.keepUntil = now + KEEP * (message.deadlineAt() - now);
+        m.kept = m.found = !decided;
         // A refusal proves that an unsafe message never ran; a relay that died or was silent proves nothing.
         if (message.fromDeadRelay() || message.again() && m.c.effect() != Effect.UNSAFE) {
             m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
@@ -291,7 +303,7 @@
         returned |= m.tries > 0;
         for (Try t : message.tried()) { // of this relay before a restart; what may have run still may
             if (!t.maybeRan() || m.inDoubt()) { continue; }
-            m.doubtAt = t.sentAt();
+            m.doubtAt = t.sentAt() > now ? NEVER : t.sentAt(); // a clock set back: no window holds
             m.doubtZone = endpoints.containsKey(t.endpoint()) ? endpoints.get(t.endpoint()).zone : -1;
         }
         held.put(message.id(), m);
@@ -301,8 +313,7 @@
     @Override public void begun(double now, long id, int attempt) { } // the client has it now
 
     @Override public void withdrawn(double now, long id) {
-        Msg m = held.get(id);
-        if (m != null) { end(m); }
+        if (held.containsKey(id)) { end(held.get(id)); }
     }
 
     @Override public void share(double now, int destination, Share share) {
@@ -413,15 +424,12 @@
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
             lost -= LEARN_LOST * lost;
             e.places += MORE_PLACES; // FOREVER stays so
-            e.aways = 0;
             e.down = false;
-            e.failRun = 0;
+            e.aways = e.failRun = 0;
             e.okSentAt = Math.max(e.okSentAt, c.sentAt);
             u.okAt = now;
-            u.failRun = 0;
-            u.fulls = 0;
+            u.failRun = u.fulls = u.fullRun = 0;
             u.fullSince = Double.NaN;
-            u.fullRun = 0;
             return;
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
@@ -581,6 +589,7 @@
 
     @Override public void decide(double now) {
         nextWake = FOREVER;
+        decided = true;
         if (askAt <= now) {
             askAt = FOREVER;
             act.watchList();
@@ -592,9 +601,7 @@
         for (Msg m : new ArrayList<>(held.values())) {
             if (m.out || drop(now, m)) { continue; }
             if (m.notBefore <= now + KEEP_MS) { m.dest.waiting++; }
-            if (m.notBefore > now) {
-                wake(m.notBefore);
-            } else if (inTurn(now, m)) { ready.add(m); }
+            if (m.notBefore > now) { wake(m.notBefore); } else if (inTurn(now, m)) { ready.add(m); }
         }
         makeRoom(now);
         ready.forEach(m -> m.rank = rank(now, m));
@@ -608,6 +615,7 @@
             }
             return e.idle.isEmpty() || e.dest.waiting == 0;
         });
+        held.values().forEach(m -> m.kept = true); // behind this round its client hears so
         if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
             double in = Math.max(TICK_MS / 2, nextWake - now);
             wakeAt = now + in;
@@ -682,21 +690,18 @@
         int most = cfg.limits().maxOpen();
         int over = held.size() - most + Math.max(1, (int) (most * ROOM));
         if (most <= 0 || over <= 0) { return; }
-        List<Msg> waiting = new ArrayList<>(held.values());
-        waiting.removeIf(m -> m.out);
-        waiting.forEach(m -> m.rank = hope(now, m));
-        waiting.sort(Comparator.comparingDouble((Msg m) -> m.rank));
-        waiting.subList(0, Math.min(over, waiting.size())).forEach(m -> answer(m, MOST_TRIAL_MS));
+        held.values().forEach(m -> m.rank = hope(now, m));
+        held.values().stream().filter(m -> !m.out).sorted(Comparator.comparingDouble(m -> m.rank)).limit(over)
+                .toList().forEach(m -> answer(m, MOST_TRIAL_MS));
     }
 
     /** Worth still to be won by a waiting message: less where its destination is sick. */
     private double hope(double now, Msg m) {
-        double delay = FOREVER;
-        for (Endpoint e : m.active()) {
-            delay = Math.min(delay, Math.max(0, e.unit.waitUntil - now)
-                    + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0));
-        }
-        return delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
+        double delay = m.active().stream().mapToDouble(e -> Math.max(0, e.unit.waitUntil - now)
+                + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0)).min().orElse(FOREVER);
+        // What a restart found is tried before it makes room for what can be refused instead.
+        double dear = !m.dear(now) ? 0 : m.found && m.tries == 0 ? FOREVER : RETURN * m.c.worth();
+        return dear + (delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type)));
     }
 
     private double worth(Msg m, double at) {
@@ -809,12 +814,11 @@
     /** Whether a new call may go to this endpoint now; asks for a wake-up when time alone will open it. */
     private boolean open(double now, Endpoint e, Lane lane) {
         Unit u = e.unit;
-        if (u.waitUntil > now) {
-            wake(u.waitUntil);
-            return false;
-        }
-        // A return knows of no wait, and what was held comes with it: the first call asks for all of them.
-        if (returned && !u.heard && u.endpoints.stream().anyMatch(x -> x.inflight > 0)) { return false; }
+        // A return knows of no wait, and what was held comes with it: the first call asks for all of them. It
+        // has a while for that: if it hangs, they would be held past their time.
+        double asks = !returned || u.heard ? NEVER : u.endpoints.stream().filter(x -> x.inflight > 0)
+                .mapToDouble(x -> x.round.sentAt + SILENT_MS).max().orElse(NEVER);
+        if (u.waitUntil > now || asks > now) { return later(Math.max(u.waitUntil, asks)); }
         if (e.down) {
             boolean onTrial = u.endpoints.stream().anyMatch(x -> x.down && x.inflight > 0); // one at a time
             if (!onTrial && e.trialAt > now) { wake(e.trialAt); }
@@ -837,18 +841,16 @@
             }
         }
         if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
-            if (e.doorAt > now) {
-                wake(e.doorAt);
-                return false;
-            }
+            if (e.doorAt > now) { return later(e.doorAt); }
             if (e.inflight >= e.places) { return false; } // the next end opens it
         }
         refill(now, u);
-        if (lane == null && u.tokens < 1) {
-            wake(now + (1 - u.tokens) / u.pace * 1000);
-            return false;
-        }
-        return true;
+        return lane != null || u.tokens >= 1 || later(now + (1 - u.tokens) / u.pace * 1000);
+    }
+
+    private boolean later(double at) {
+        wake(at);
+        return false;
     }
 
     private void send(double now, Msg m, Endpoint e) {
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -5,7 +5,9 @@
 import firstair.control.Controller.MessageClass;
 import firstair.control.Controller.Result;
 import firstair.control.Controller.Try;
+import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** Messages that a relay takes up again after a restart, with what it had tried for them. */
@@ -100,6 +102,57 @@
         assertThat(fresh.sent).hasSize(3);
     }
 
+    /** The first call asks for all, but not for longer than an answer takes: it may hang where others would answer. */
+    @Test
+    void whatWasNeverTriedIsNotHeldPastItsTimeByOneCallThatHangs() {
+        Bench b = relay(Bench.SAFE);
+        b.resume(0, 9_000, new Try("1/0/a", b.now - 100, false));
+        for (int i = 0; i < 5; i++) { b.resume(0, 1_500); }
+        b.decide();
+        assertThat(b.out).hasSize(1);
+        Bench.Sent hangs = b.out.remove(0); // of it nothing is heard
+        b.run(690, Result.OK, 20);
+        assertThat(b.sent).hasSize(1);
+        b.run(200, Result.OK, 20);
+        assertThat(b.sent).hasSize(6);
+        assertThat(b.sent.get(1).endpoint()).isNotEqualTo(hangs.endpoint());
+        assertThat(b.refused).isEmpty();
+    }
+
+    /** A process that has just started knows of no call how long it takes, and a short time is soon half over. */
+    @Test
+    void whatWasNeverTriedAndHasHalfOfAShortTimeLeftIsTried() {
+        MessageClass s = Bench.SAFE;
+        Bench b = relay(new MessageClass("short", s.effect(), s.scope(), false, false, 200, 0, 500, 0, 1, 0.3));
+        b.resume(0, 250);
+        b.decide();
+        assertThat(b.sent).hasSize(1);
+        assertThat(b.refused).isEmpty();
+    }
+
+    /** The clock of the machine was set back: how much of the window is over, nobody knows. */
+    @Test
+    void aKeyedMessageWhoseCallLiesAheadIsGivenUp() {
+        Bench b = relay(Bench.KEYED);
+        long id = b.resume(0, 9_000, new Try("1/0/a", b.now + 60_000, true));
+        b.decide();
+        assertThat(b.sent).isEmpty();
+        assertThat(b.givenUp).containsExactly(id);
+    }
+
+    /** New messages can be refused, those that were taken on can not: they are tried before they make room. */
+    @Test
+    void whatWasNeverTriedMakesNoRoomForWhatIsHandedIn() {
+        Bench b = relay(Bench.SAFE); // holds 100 messages, of which six are kept free
+        List<Long> found = LongStream.range(0, 90).mapToObj(i -> b.resume(0, 5_000)).toList();
+        b.decide();
+        b.out.clear(); // the first calls hang, the others wait for slots
+        for (int i = 0; i < 50; i++) { b.take(0, 1); }
+        b.decide();
+        assertThat(b.refused).hasSizeGreaterThan(40).doesNotContainAnyElementsOf(found);
+        assertThat(b.givenUp).isEmpty();
+    }
+
     @Test
     void pausesGoOnGrowing() {
         Bench b = relay(Bench.SAFE);
