--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -83,7 +83,7 @@
     private static final double CROWD_WORTH = 1;           // the same where not all that waits can go
     private static final double ROOM = 0.06;               // share of the open messages kept free
     private static final double KEEP = 0.75;               // of its time, before it a return is dear (ours):
-    private static final double RETURN = 0.25;             // it weighs as much as this part of the worth (ours)
+    private static final double RETURN = 0.25;             // and weighs so much of its worth (ours)
     private static final double ASK_AGAIN_MS = 400;        // pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
     private static final double FORGET_MS = 10_000;        // what comes back on the list sooner is known
