--- a/src/main/java/firstair/relay/discovery/Watch.java
+++ b/src/main/java/firstair/relay/discovery/Watch.java
@@ -4,6 +4,7 @@
 import firstair.relay.HostPort;
 import firstair.relay.Limits;
 import firstair.relay.Loop;
+import firstair.relay.Seldom;
 import firstair.relay.http.Head;
 import firstair.relay.http.HttpWriter;
 import firstair.relay.net.Dialer;
@@ -11,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -23,7 +25,6 @@
 public final class Watch {
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     private static final String PATH = "/api/targets";
-    private static final double LINE_EVERY_MS = 60_000; // of the log, for a list that is lost and found all the time
 
     /** Gets the news, on the loop's thread. */
     public interface Listener {
@@ -40,8 +41,8 @@
     private final Listener listener;
     private long version;
     private final List<Call> calls = new ArrayList<>(); // out
+    private final Seldom losses = new Seldom(LOG, Level.WARNING);
     private boolean lost; // and told so in the log
-    private double lostAt = Double.NEGATIVE_INFINITY; // when that was last told
 
     /** @param version version of the list held, or -1 */
     public Watch(Dialer dialer, Limits limits, Loop loop, InetSocketAddress address, List<String> kinds,
@@ -112,11 +113,7 @@
     }
 
     private void lost(String why) {
-        if (!lost && loop.now() - lostAt >= LINE_EVERY_MS) {
-            LOG.warning("list lost: " + why);
-            lost = true;
-            lostAt = loop.now();
-        }
+        lost = lost || losses.log("list lost: " + why);
     }
 
     /** A call has got what it was owed: the others are out in vain. */
