Merge calls decided once more when their connection is there

Cause: sent on after its end, and before a wait was over, on connections that came up late. Change: with the crossings at endpoints: what a new connection told before our request is read first; a call on a late connection is joined by nobody.

--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -18,7 +18,7 @@
 
     private static final int LOOK_BYTES = 4096; // answers are shorter
 
-    private enum Phase { CONNECTING, WRITING, WAITING, IDLE, CLOSED }
+    private enum Phase { CONNECTING, UP, WRITING, WAITING, IDLE, CLOSED } // UP: nothing has been sent on it yet
 
     private final HttpParser parser;
     private final Runnable closedIdle;
@@ -32,7 +32,7 @@
     private boolean begun;
     private boolean halted;
 
-    /** Opens a connection and sends a first request on it; see {@link Dialer#open}. */
+    /** Opens a connection, and sends a first request on it if there is one; see {@link Dialer#open}. */
     HttpLink(Wire wire, int maxHead, InetSocketAddress to, long maxBody, byte[] request, Exchange first,
             Runnable closedIdle) {
         this.parser = new HttpParser(HttpParser.Kind.ANSWER, maxHead, maxBody, new Answer());
@@ -79,15 +79,26 @@
         }
         connection = c;
         LinkFilter.LINK.set(c, this);
-        write(request);
+        if (request != null) {
+            write(request);
+            return;
+        }
+        phase = Phase.UP;
+        exchange.up();
     }
 
     @Override
     public synchronized boolean send(byte[] request, Exchange next) {
-        if (phase != Phase.IDLE || !connection.isOpen()) {
+        if (phase == Phase.UP) {
+            look(); // a new connection may be turned away before it carries anything
+        }
+        if (phase == Phase.UP && (begun || !connection.isOpen() || !Wire.quiet(connection))) {
+            fail(false); // what has come answers no request, and an end before we knew the connection was not told
+        }
+        if (phase != Phase.UP && !idle()) {
             return false;
         }
-        if (!Wire.quiet(connection)) {
+        if (phase == Phase.IDLE && !Wire.quiet(connection)) {
             // Ended, or out of step, and the selector has not come to it yet: a request written there would be lost, or
             // get the answer that nobody asked for.
             close();
@@ -99,6 +110,20 @@
         return true;
     }
 
+    @Override
+    public synchronized boolean idle() {
+        return phase == Phase.IDLE && connection.isOpen();
+    }
+
+    @Override
+    public synchronized boolean keep() {
+        if (phase == Phase.UP && !begun) {
+            phase = Phase.IDLE;
+            exchange = null;
+        }
+        return idle();
+    }
+
     @Override
     public synchronized boolean connecting() {
         return phase == Phase.CONNECTING;
@@ -224,7 +249,7 @@
 
     /** Reads what the selector has not come to yet: an answer that was written in time counts. */
     private void look() {
-        while (phase == Phase.WAITING) {
+        while (phase == Phase.WAITING || phase == Phase.UP) {
             byte[] bytes = Wire.unread(connection, LOOK_BYTES);
             if (bytes.length == 0) {
                 return;
--- a/src/test/java/firstair/relay/ListClockTest.java
+++ b/src/test/java/firstair/relay/ListClockTest.java
@@ -138,6 +138,16 @@
                     return false;
                 }
 
+                @Override
+                public boolean idle() {
+                    return false;
+                }
+
+                @Override
+                public boolean keep() {
+                    return false;
+                }
+
                 @Override
                 public boolean connecting() {
                     return real[0].connecting();
--- a/src/test/java/firstair/relay/discovery/WatchTest.java
+++ b/src/test/java/firstair/relay/discovery/WatchTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -65,7 +65,12 @@
                 Map.of("endpoints.answer", "test"), Own.schema()).values()); // a test may get little of a core
         wire = new Wire(limits);
         selector = new SelectorGate(wire);
-        loop = LoopThread.start(() -> { });
+        loop = LoopThread.start(() -> {
+            if (endpoints != null) {
+                endpoints.ask((id, attempt) -> true);
+                endpoints.write(id -> true);
+            }
+        });
         endpoints = new Endpoints(wire, limits, loop, outcomes::add);
         server = new ServerSocket();
         server.setReceiveBufferSize(4096);
