--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -310,9 +310,7 @@
 
     @Override public void begun(double now, long id, int attempt) { } // the client has it now
 
-    @Override public void withdrawn(double now, long id) {
-        if (held.containsKey(id)) { end(held.get(id)); }
-    }
+    @Override public void withdrawn(double now, long id) { if (held.containsKey(id)) { end(held.get(id)); } }
 
     @Override public void share(double now, int destination, Share share) {
         if (destination < 0) { usualShare = share; }
@@ -381,9 +379,8 @@
             e.dest.inflight--;
             if (how == Result.OK || how == Result.ERROR || how == Result.FULL || how == Result.WITHHELD) {
                 e.idle.addLast(now);
-                if (e.renewAt == FOREVER) {
-                    e.renewAt = now + cfg.limits().connectionIdleMs() * renewals.nextDouble();
-                }
+                double idle = cfg.limits().connectionIdleMs();
+                if (e.renewAt == FOREVER) { e.renewAt = now + idle * renewals.nextDouble(); }
                 unused.add(e);
             }
         }
@@ -440,7 +437,6 @@
             if (e.down) { act.report("endpoint " + e.name + " answers again, ramping up"); }
             if (e.down || e.coldSince == FOREVER) {
                 e.coldSince = now;
-                e.rampOwed = 0;
                 u.endpoints.forEach(x -> x.trialAt = Math.min(x.trialAt, now + jittered(FIRST_TRIAL_MS)));
             }
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
@@ -455,9 +451,8 @@
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
         if (o.result() == Result.CROWDED) {
-            // Full of all relays' connections. It answers, so it is not down: held to be sick all would leave
-            // it alone for seconds. We come again soon, with fewer, and leave room from now on. Idle
-            // connections last a while: what goes on for longer is shut.
+            // Full of all relays' connections, but it answers: held to be sick all would leave it alone for
+            // seconds. We come again soon, with fewer; what goes on longer than idle ones last is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
             e.awayAt = now;
@@ -480,7 +475,7 @@
                 u.endpoints.forEach(x -> coldFrom(u.waitUntil, x));
                 return;
             }
-            if (!shut) { return; }
+            if (!shut && !(room && o.load().allowanceLeft() > MUCH_LEFT)) { return; } // much left: shut too
         }
         if (o.result() == Result.CONNECT_FAILED && !e.down) {
             e.noConnAt = now;
@@ -516,8 +511,8 @@
     private void coldFrom(double at, Endpoint e) {
         e.down = false;
         e.coldSince = at;
-        e.rampOwed = 1 + EXTRA_ITEM * (e.kind.bundleMax() - 1); // it may carry all that a call can
-        e.rampAt = at - random.nextDouble() * e.rampOwed * e.unit.active() * 1000 / coldRate(at, e.unit, 0);
+        e.rampOwed = random.nextDouble() * (1 + EXTRA_ITEM * (e.kind.bundleMax() - 1)); // of a full call
+        e.rampAt = at;
     }
 
     /** A refusal: keep a told wait, take an own one otherwise, and slow down where it may be a limit. */
@@ -565,8 +560,7 @@
         u.rate += GROW * part * (cfg.limitsTold() ? 1 : Math.min(1, part)) * dt / 1000; // FOREVER stays so
         double limit = cfg.limitsTold() ? u.limit : known(u);
         if (limit > 0) {
-            // Where calls can be shared and many are refused our part will do: what waits goes together. And
-            // where no report tells what is left: refusals use up what all could have.
+            // Many are refused: our part will do where calls can be shared, or no report tells what is left.
             boolean even = u.refusedShare >= MANY_REFUSED && u.kind.bundleMax() > 1 || crowded(u);
             u.rate = Math.min(u.rate, even ? Math.max(SHARED_PART * limit / cfg.group(), floor(u)) : limit);
         }
@@ -638,9 +632,8 @@
         });
         held.values().forEach(m -> m.kept = true); // behind this round its client hears so
         if (nextWake < wakeAt - 1e-6 && nextWake < FOREVER) {
-            double in = Math.max(TICK_MS / 2, nextWake - now);
-            wakeAt = now + in;
-            act.wake(in);
+            wakeAt = Math.max(now + TICK_MS / 2, nextWake);
+            act.wake(wakeAt - now);
         }
     }
 
@@ -744,8 +737,12 @@
 
     /** Worth lost by waiting, for each moment of slot time; a little for worth that waiting does not lose. */
     private double rank(double now, Msg m) {
-        double slow = m.dest.active.stream().mapToDouble(e -> e.slowness).min().orElse(1);
-        boolean crowded = m.dest.active.stream().anyMatch(e -> crowded(e.unit));
+        double slow = m.dest.active.isEmpty() ? 1 : FOREVER;
+        boolean crowded = false;
+        for (Endpoint e : m.dest.active) {
+            slow = Math.min(slow, e.slowness);
+            crowded |= crowded(e.unit);
+        }
         double d = usual(m.dest, m.type) * Math.max(1, slow);
         double soon = worth(m, now + d);
         return (soon - worth(m, now + d + LOOKAHEAD_MS) + (crowded ? CROWD_WORTH : BASE_WORTH) * soon) / d;
@@ -799,8 +796,7 @@
 
     private boolean joins(double now, Endpoint e, Lane lane) {
         Call c = e.round;
-        return c != null && c.sentAt == now && !c.trial && !c.gone && c.items < e.kind.bundleMax()
-                && c.lane == lane;
+        return c != null && c.sentAt == now && !c.gone && c.items < e.kind.bundleMax() && c.lane == lane;
     }
 
     private boolean hasIdle(double now, Endpoint e) {
@@ -833,8 +829,7 @@
     /** Whether a new call may go to this endpoint now; asks for a wake-up when time alone will open it. */
     private boolean open(double now, Endpoint e, Lane lane) {
         Unit u = e.unit;
-        // A return knows of no wait, and what was held comes with it: the first call asks for all of them. It
-        // has a while for that: if it hangs, they would be held past their time.
+        // A return knows of no wait: its first call asks for all that is held. It may hang: for a while only.
         double asks = !returned || u.heard ? NEVER : u.endpoints.stream().filter(x -> x.inflight > 0)
                 .mapToDouble(x -> x.round.sentAt + SILENT_MS).max().orElse(NEVER);
         if (u.waitUntil > now || asks > now) { return later(Math.max(u.waitUntil, asks)); }
@@ -848,11 +843,12 @@
                 e.coldSince = Double.NaN;
                 e.trials = 0;
             } else {
-                // The rate grows meanwhile: what was due by the rate of the last call may go sooner.
+                // The rate grows meanwhile: by its mean since then, or all who wait would gain by it at once.
                 double since = e.coldSince == FOREVER ? 0 : now - e.coldSince;
-                double owed = e.rampOwed * u.active();
-                double rest = e.rampAt + owed * 1000 / coldRate(now, u, since) - now;
-                if (rest > 0) { return later(now + Math.min(rest, RAMP_LOOK_MS)); }
+                double waited = now - e.rampAt;
+                double mean = coldRate(now, u, Math.max(0, since - waited / 2));
+                double owed = e.rampOwed * u.active() * 1000 - mean * waited;
+                if (owed > 0) { return later(now + Math.min(owed / coldRate(now, u, since), RAMP_LOOK_MS)); }
             }
         }
         if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
@@ -872,7 +868,7 @@
             c.e = e;
             c.lane = m.lane;
             c.sentAt = now;
-            c.trial = e.down;
+            c.trial = c.gone = e.down;
             e.round = c;
             e.inflight++;
             e.dest.inflight++;
@@ -881,8 +877,7 @@
             // What must not be repeated would be lost: for it a recent sign is enough.
             boolean sign = m.c.effect() == Effect.UNSAFE && stale > LEARN_STALE / 2;
             if (c.stood && (staleUntil > now || sign)) { closeIdle(e); }
-            c.kept = !e.idle.isEmpty();
-            if (c.kept) { e.idle.removeLast(); }
+            c.kept = e.idle.pollLast() != null;
             refill(now, e.unit);
             if (m.lane == null) { e.unit.tokens -= 1; } else { m.lane.used(now); }
         }
