Try: answers behind a given-up call are time-outs, calls tell until when they stay

Cause sought: messages of a shared call counted lost. Change: what comes behind the end of our sending is TIMEOUT; Request-Timeout-Ms holds the wait for the call's end.

--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -202,6 +202,7 @@
         private boolean written;
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
+        private int firstByThen; // status of a first line that had come when it was given up
         private volatile boolean ending; // the connection has told its end, and the loop is yet to hear it
         private double toldMs; // the wait that has been told on
         private volatile int first; // status of a first line that has come
@@ -355,7 +356,9 @@
         }
 
         private byte[] request(double patience, String host) {
-            String wait = String.valueOf((long) Math.ceil(patience));
+            // Until we leave, and not until we give up: told less, an endpoint might hold an answer for too late that we
+            // read in the round in which our time-out is due.
+            String wait = String.valueOf((long) Math.ceil(patience + limits.haltMs()));
             if (!bundle) {
                 Item i = items.get(0);
                 HttpWriter w = HttpWriter.request("POST", "/receive", host).header("Request-Id", i.requestId());
@@ -437,6 +440,12 @@
             if (over) {
                 return;
             }
+            if (expired) {
+                // It crossed the end of our sending, behind which nobody need have delivered it.
+                link.leave();
+                ended(Result.TIMEOUT);
+                return;
+            }
             Answers.End all = Answers.of(head, bundle, fresh);
             Map<String, String> ends = all == null ? Bundles.read(body.toByteArray(), ids) : Map.of();
             if (ends == null || all != null && !alone && all.result() != Result.OK) {
@@ -463,7 +472,7 @@
             if (over) {
                 return;
             }
-            boolean delivered = first == DELIVERED && !bundle;
+            boolean delivered = (expired ? firstByThen : first) == DELIVERED && !bundle;
             for (Item i : List.copyOf(items)) {
                 end(i, delivered ? new Answers.End(Result.OK, true) : new Answers.End(result, false), waitMs,
                         head == null ? Load.NONE : Answers.load(head));
@@ -480,6 +489,7 @@
             }
             if (link != null && link.halt()) {
                 expired = true;
+                firstByThen = first;
                 timers.add(loop.after(limits.haltMs(), () -> leave(Result.TIMEOUT)));
             } else {
                 leave(Result.TIMEOUT);
