What was taken on is not handed back for a guess of ours before 0.7 of its time

Cause: Control.drop answers a message once its destination seems to open too late, and takes our own pace, the next trial of a down endpoint and our own wait after an untold refusal for proof. They are guesses: a pace grows, a trial comes sooner once a sibling answers. What surely cannot land (told wait, booked lane, window, tries, deadline less a usual call) is still answered at once.

Change: guesses end a message in the round in which it came (refused before its 202, with the time to come back), if it may have run, or once 0.7 of its time is over. Told waits are kept apart from our own (Unit.toldUntil). A message that may have run, or has no try left, ends as before.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -131,7 +131,7 @@
         final Dest dest;
         final Kind kind;
         final List<Endpoint> endpoints = new ArrayList<>();
-        double waitUntil = NEVER, okAt = NEVER, cutAt = NEVER;
+        double waitUntil = NEVER, toldUntil = NEVER, okAt = NEVER, cutAt = NEVER; // wait; part that was told
         double limit;                       // calls a second reported, 0 if none
         double rate = FOREVER, tokens = 1;  // our pace, calls a second, and the calls that may go now
         double pace = FOREVER;              // the same within what the fleet leaves to us
@@ -329,6 +329,7 @@
     @Override public void warned(double now, String endpoint, double waitUntil, double avoidUntil) {
         Endpoint e = endpoints.get(endpoint);
         if (e == null) { return; }
+        e.unit.toldUntil = Math.max(e.unit.toldUntil, waitUntil);
         e.unit.waitUntil = Math.max(e.unit.waitUntil, waitUntil);
         e.avoidUntil = avoidUntil;
     }
@@ -370,6 +371,7 @@
             // A wait binds whichever message learned it; when it is over, chance spreads the relays.
             double spread = part(now, e.unit) < SELDOM ? SELDOM_SPREAD_MS : SPREAD_MS;
             double until = now + o.waitMs() + 1 + random.nextDouble() * spread;
+            e.unit.toldUntil = Math.max(e.unit.toldUntil, until);
             e.unit.waitUntil = Math.max(e.unit.waitUntil, until);
         }
         // A kept connection that was dead while it stood idle is no sign of sickness. A reset at once shows
@@ -580,8 +582,7 @@
     private void learn(Msg m, double took) {
         int k = m.type;
         Dest d = m.dest;
-        double w = Math.max(LEARN, 1.0 / (d.seen[k] + 2));
-        d.usual[k] = usual(d, k) + w * (took - usual(d, k));
+        d.usual[k] = usual(d, k) + Math.max(LEARN, 1.0 / (d.seen[k] + 2)) * (took - usual(d, k));
         d.seen[k]++;
         classUsual[k] += LEARN / 2 * (took - classUsual[k]);
     }
@@ -631,12 +632,13 @@
         if (!m.ordered()) { return true; }
         Order order = orders.get(m.m.key());
         if (order.queue.peekFirst() != m || order.out > 0) { return false; }
-        boolean rests = m.tries == 0 && order.restUntil > now;
-        if (rests) { wake(order.restUntil); }
-        return !rests;
+        return m.tries > 0 || order.restUntil <= now || later(order.restUntil);
     }
 
-    /** Gives the final answer at once where no further attempt can be made or can land in time. */
+    /**
+     * Gives the final answer at once where no further attempt can be made or can land in time. That our own
+     * pace, trial or wait comes too late is a guess: a return that is dear waits for better.
+     */
     private boolean drop(double now, Msg m) {
         double usual = usual(m.dest, m.type);
         double last = m.m.deadlineAt() - usual;
@@ -652,14 +654,15 @@
             }
         }
         List<Endpoint> active = m.active();
-        double opens = active.isEmpty() ? now : FOREVER;
+        double opens = active.isEmpty() ? now : FOREVER, told = opens;
         for (Endpoint e : active) {
             double pace = m.lane == null || e.down ? paced(now, e) : m.lane.opensAt(now);
             opens = Math.min(opens, Math.max(e.unit.waitUntil, pace));
+            told = Math.min(told, Math.max(e.unit.toldUntil, m.lane == null ? now : m.lane.opensAt(now)));
         }
         double soonest = Math.max(now, opens);
-        if (!spent && soonest <= last) {
-            wake(last + 1);
+        if (!spent && (soonest <= last || m.dear(now) && Math.max(now, told) <= last)) {
+            wake(m.dear(now) ? Math.min(m.keepUntil, last + 1) : last + 1);
             return false;
         }
         answer(m, Math.max(0, soonest - now));
@@ -835,10 +838,7 @@
                 double since = e.coldSince == FOREVER ? 0 : now - e.coldSince;
                 double owed = e.rampOwed * u.active();
                 double rest = e.rampAt + owed * 1000 / coldRate(now, u, since) - now;
-                if (rest > 0) {
-                    wake(now + Math.min(rest, RAMP_LOOK_MS));
-                    return false;
-                }
+                if (rest > 0) { return later(now + Math.min(rest, RAMP_LOOK_MS)); }
             }
         }
         if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
