--- a/src/test/java/firstair/relay/AfterTheEndTest.java
+++ b/src/test/java/firstair/relay/AfterTheEndTest.java
@@ -22,7 +22,7 @@
         s.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
-    /** Its request ends behind the signal, more than its request follows, and it reads only once the process is gone. */
+    /** Its request ends behind the signal, more follows, and it reads only once the process is gone. */
     @Test
     void anAnswerIsReadAfterTheProcessHasEnded() throws Exception {
         String list = Platform.list(3, true, "a 7 127.0.0.1:1");
--- a/src/test/java/firstair/relay/endpoints/LateCallsTest.java
+++ b/src/test/java/firstair/relay/endpoints/LateCallsTest.java
@@ -101,7 +101,8 @@
     }
 
     private static Item item(long id, double timeoutMs, double deadlineAt) {
-        return new Item(id, 0, "r" + id, null, "body".getBytes(StandardCharsets.US_ASCII), timeoutMs, deadlineAt, false);
+        byte[] body = "body".getBytes(StandardCharsets.US_ASCII);
+        return new Item(id, 0, "r" + id, null, body, timeoutMs, deadlineAt, false);
     }
 
     private void call(long... ids) {
