Try: a call has one time for all its messages

Cause: messages of a call ended alone at their own time while it was out, and its answer counted for nothing. Change: joining asks for the call's time, asked once more when the connection is there; an answer behind our own end is none.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -2,10 +2,7 @@
 
 import java.util.*;
 
-/**
- * All decisions of a relay and all state behind them. The interface is {@code Controller.java} beside this
- * file; docs/design.md says what comes from the design and what was added.
- */
+/** All decisions of a relay and their state, by Controller.java; docs/design.md says what was added. */
 public final class Control implements Controller {
     private static final double NEVER = Double.NEGATIVE_INFINITY;
     private static final double FOREVER = Double.POSITIVE_INFINITY;
@@ -104,13 +101,15 @@
 
         boolean inDoubt() { return !Double.isNaN(doubtAt); }
 
+        boolean zoned() { return inDoubt() && c.effect() == Effect.KEYED && c.scope() == Scope.ZONE; }
+
         boolean ordered() { return c.inOrder() && m.key() != null; }
     }
 
-    /** One call to an endpoint; it may carry several messages. */
+    /** One call to an endpoint; it may carry several messages, all of which have its time. */
     private static final class Call {
         Endpoint e;
-        double sentAt;
+        double sentAt, timeoutMs, mostMs = FOREVER; // its time, and the most that its messages allow
         int items, open;
         boolean trial, judged;
         Lane lane;                          // what was booked for it
@@ -147,16 +146,14 @@
         Dest dest;
         Unit unit;
         Kind kind;
-        int zone, kindNo, inflight, failRun, trials;
-        double weight;
+        int zone, kindNo, inflight, failRun, trials, aways; // aways: turned away since the last answer
         boolean active, down;
         final ArrayDeque<Double> idle = new ArrayDeque<>(); // when our idle connections were last used
-        double trialAt, rampAt, rampOwed;            // next trial; last call of a return and its weight
+        double weight, trialAt, rampAt, rampOwed;    // next trial; last call of a return and its weight
         double noConnAt = NEVER, okSentAt = NEVER;   // last failed connect; latest send that was answered
         double doorAt = NEVER, awayAt = NEVER;       // end of our pause after it turned us away; when it did
         double places = FOREVER;                     // connections that we may have there at once
         double renewAt = FOREVER;                    // when its kept connections are to end once
-        int aways;                                   // turned away so often since the last answer
         double leftAt = FOREVER;                     // since when it is no longer listed
         double avoidUntil = NEVER;                   // others hold it to be sick
         double coldSince = Double.NaN;                      // start of its return; FOREVER not yet, NaN warm
@@ -223,8 +220,7 @@
 
     @Override public void list(double now, News news, List<Entry> entries) {
         if (news == News.FAILED) {
-            // A failure does not say whether a watch stands: ask again, long before askEvery has passed.
-            // Changes count soon after discovery is back, and more calls may fail by then: no longer pauses.
+            // A failure does not say whether a watch stands, and changes count soon after discovery is back.
             double most = cfg.rules().askEveryMs() > 0 ? cfg.rules().askEveryMs() / 8 : FOREVER;
             askAt = now + jittered(Math.min(most, ASK_AGAIN_MS));
             return;
@@ -298,11 +294,8 @@
         if (m.ordered()) { orders.computeIfAbsent(message.key(), k -> new Order()).queue.add(m); }
     }
 
-    @Override public void begun(double now, long id, int attempt) { } // the client has it now
-
     @Override public void withdrawn(double now, long id) {
-        Msg m = held.get(id);
-        if (m != null) { end(m); }
+        if (held.containsKey(id)) { end(held.get(id)); }
     }
 
     @Override public void share(double now, int destination, Share share) {
@@ -332,18 +325,25 @@
         if (now >= wakeAt - TICK_MS) { wakeAt = FOREVER; }
     }
 
-    @Override public boolean mayGo(double now, long id, int attempt) {
+    @Override public double mayGo(double now, long id, int attempt) {
         Attempt a = attempts.get(key(id, attempt));
-        if (a == null) { return false; }
+        if (a == null) { return 0; }
         Msg m = a.m;
         Call c = a.call;
         Endpoint e = c.e;
         boolean fell = e.down ? !c.trial : e.coldSince > c.sentAt; // no trial, and in no ramp
         boolean lands = now <= last(m) + usual(m.dest, m.type) / 2; // the connection was part of a call
-        if (m.over || fell || !lands || e.unit.waitUntil > now || !m.active().contains(e)) { return false; }
+        if (m.over || fell || !lands || e.unit.waitUntil > now || !m.active().contains(e)) { return 0; }
+        // What has too little time by now leaves the call to those that have enough, and goes by itself.
+        List<Msg> all = attempts.values().stream().filter(x -> x.call == c).map(x -> x.m).toList();
+        boolean unsafe = all.stream().anyMatch(x -> x.c.effect() == Effect.UNSAFE);
+        double least = unsafe ? c.timeoutMs : Math.min(c.timeoutMs, need(m, c.items));
+        double longest = all.stream().mapToDouble(x -> most(now, x)).max().orElse(0);
+        if (most(now, m) < Math.min(least, longest)) { return 0; }
         c.sentAt = now;
         if (e.round == c) { e.round = null; } // nothing joins it any more
-        return true;
+        return all.stream().mapToDouble(x -> most(now, x)).filter(x -> x >= Math.min(least, longest))
+                .reduce(c.timeoutMs, Math::min);
     }
 
     @Override public void waits(double now, String endpoint, long id, int attempt, double waitMs) {
@@ -446,9 +446,8 @@
         }
         if (o.result() == Result.NOT_SENT || o.result() == Result.CANCELLED) { return; }
         if (o.result() == Result.CROWDED) {
-            // Full of all relays' connections. It answers, so it is not down: held to be sick all would leave
-            // it alone for seconds. We come again soon, with fewer, and leave room from now on. Idle
-            // connections last a while: what goes on for longer is shut.
+            // Full of all relays' connections, so it is not down: we come again soon, with fewer, and leave
+            // room from now on. Idle connections last a while: what goes on for longer is shut.
             crowdedUntil[e.kindNo] = FOREVER;
             unused.addAll(endpoints.values());
             e.awayAt = now;
@@ -549,15 +548,13 @@
     }
 
     private void refill(double now, Unit u) {
-        if (Double.isNaN(u.filledAt)) { u.filledAt = now; }
-        double dt = now - u.filledAt;
+        double dt = Double.isNaN(u.filledAt) ? 0 : now - u.filledAt;
         u.filledAt = now;
         double part = part(now, u); // unseen refusals come with calls: it grows with them where they are few
         u.rate += GROW * part * (cfg.limitsTold() ? 1 : Math.min(1, part)) * dt / 1000; // FOREVER stays so
         double limit = cfg.limitsTold() ? u.limit : known(u);
         if (limit > 0) {
-            // Where calls can be shared and many are refused our part will do: what waits goes together. And
-            // where no report tells what is left: refusals use up what all could have.
+            // Our part will do where what waits goes together, or where refusals use up what all could have.
             boolean even = u.refusedShare >= MANY_REFUSED && u.kind.bundleMax() > 1 || crowded(u);
             u.rate = Math.min(u.rate, even ? Math.max(SHARED_PART * limit / cfg.group(), floor(u)) : limit);
         }
@@ -591,8 +588,7 @@
     private void learn(Msg m, double took) {
         int k = m.type;
         Dest d = m.dest;
-        double w = Math.max(LEARN, 1.0 / (d.seen[k] + 2));
-        d.usual[k] = usual(d, k) + w * (took - usual(d, k));
+        d.usual[k] = usual(d, k) + Math.max(LEARN, 1.0 / (d.seen[k] + 2)) * (took - usual(d, k));
         d.seen[k]++;
         classUsual[k] += LEARN / 2 * (took - classUsual[k]);
     }
@@ -654,7 +650,7 @@
         double last = last(m);
         boolean spent = cfg.limits().maxAttempts() > 0 && m.tries >= cfg.limits().maxAttempts();
         spent |= m.inDoubt() && m.c.effect() == Effect.UNSAFE;
-        if (m.inDoubt() && m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ZONE) {
+        if (m.zoned()) {
             spent |= m.doubtZone < 0 ? m.dest.endpoints.stream().mapToInt(e -> e.zone).distinct().count() != 1
                     : m.zones != null && !m.zones.contains(m.doubtZone); // barred by now
         }
@@ -704,8 +700,7 @@
         int most = cfg.limits().maxOpen();
         int over = held.size() - most + Math.max(1, (int) (most * ROOM));
         if (most <= 0 || over <= 0) { return; }
-        List<Msg> waiting = new ArrayList<>(held.values());
-        waiting.removeIf(m -> m.out);
+        List<Msg> waiting = new ArrayList<>(held.values().stream().filter(m -> !m.out).toList());
         waiting.forEach(m -> m.rank = hope(now, m));
         waiting.sort(Comparator.comparingDouble((Msg m) -> m.rank));
         waiting.subList(0, Math.min(over, waiting.size())).forEach(m -> answer(m, MOST_TRIAL_MS));
@@ -713,11 +708,8 @@
 
     /** Worth still to be won by a waiting message: less where its destination is sick. */
     private double hope(double now, Msg m) {
-        double delay = FOREVER;
-        for (Endpoint e : m.active()) {
-            delay = Math.min(delay, Math.max(0, e.unit.waitUntil - now)
-                    + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0));
-        }
+        double delay = m.active().stream().mapToDouble(e -> Math.max(0, e.unit.waitUntil - now)
+                + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0)).min().orElse(FOREVER);
         return delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
     }
 
@@ -727,10 +719,9 @@
         double aim = Math.min(c.deadlineMs(), c.aimMs() + c.aimStretch() * m.m.workMs());
         if (age <= aim) { return c.worth(); }
         if (at > m.m.deadlineAt()) { return 0; }
-        double late = age - aim;
         double left = cfg.late() == LateCurve.HALVING
-                ? Math.max(c.lateWorth(), Math.pow(0.5, late / Math.max(1, aim)))
-                : 1 - (1 - c.lateWorth()) * late / Math.max(1, c.deadlineMs() - aim);
+                ? Math.max(c.lateWorth(), Math.pow(0.5, (age - aim) / Math.max(1, aim)))
+                : 1 - (1 - c.lateWorth()) * (age - aim) / Math.max(1, c.deadlineMs() - aim);
         return c.worth() * left;
     }
 
@@ -754,18 +745,13 @@
         return !d.active.isEmpty();
     }
 
-    private int sickSlots() {
-        int sum = 0;
-        for (Dest d : dests.values()) { sum += d.inflight > 0 && sick(d) ? d.inflight : 0; }
-        return sum;
-    }
-
     private boolean slotFor(Dest d) {
         int slots = cfg.limits().slots();
         if (slots <= 0) { return true; }
-        int half = Math.max(1, (int) (slots * SICK_CAP));
-        int most = Math.max(1, (int) (slots * CAP));
-        return slotsUsed < slots && (sick(d) ? sickSlots() < half : d.inflight < most);
+        boolean sick = sick(d);
+        int most = Math.max(1, (int) (slots * (sick ? SICK_CAP : CAP))), used = sick ? 0 : d.inflight;
+        for (Dest x : sick ? dests.values() : List.<Dest>of()) { used += sick(x) ? x.inflight : 0; }
+        return slotsUsed < slots && used < most;
     }
 
     private void trySend(double now, Msg m) {
@@ -776,12 +762,9 @@
         double opens = m.lane == null ? now : m.lane.opensAt(now);
         if (opens > now && !later(opens)) { return; }
         for (Endpoint e : m.active()) {
-            if (m.inDoubt() && m.c.effect() == Effect.KEYED && m.c.scope() == Scope.ZONE
-                    && m.doubtZone >= 0 && e.zone != m.doubtZone) {
-                continue;
-            }
-            boolean joins = joins(now, e, m.lane);
-            if (!joins && (!slot || !open(now, e, m.lane))) { continue; }
+            if (m.zoned() && m.doubtZone >= 0 && e.zone != m.doubtZone) { continue; }
+            boolean joins = joins(now, e, m), apart = !joins && hasRoom(now, e) && !later(now + TICK_MS);
+            if (!joins && (!slot || apart || !open(now, e, m.lane))) { continue; }
             double cost = (e.inflight + 1.0) * Math.max(0.5, e.slowness) * (joins ? 0.5 : 1)
                     + (e.zone == cfg.zone() ? 0 : 0.5) + (hasIdle(now, e) ? 0 : 0.3)
                     + (e.down ? 100 : 0) + FAILED_COST * e.failRun + (e.avoidUntil > now ? 50 : 0);
@@ -793,22 +776,29 @@
         if (best != null) { send(now, m, best); }
     }
 
-    private boolean joins(double now, Endpoint e, Lane lane) {
+    /** Whether a call of this round has room; what may not join it goes there in another round. */
+    private static boolean hasRoom(double now, Endpoint e) {
+        Call c = e.round;
+        return c != null && c.sentAt == now && !c.trial && c.items < e.kind.bundleMax();
+    }
+
+    /** A call has one time, which no message that joins may cut, or find shorter than it needs itself. */
+    private boolean joins(double now, Endpoint e, Msg m) {
         Call c = e.round;
-        return c != null && c.sentAt == now && !c.trial && c.items < e.kind.bundleMax() && c.lane == lane;
+        if (!hasRoom(now, e) || c.lane != m.lane) { return false; }
+        double most = most(now, m), own = patience(m, e, c.items + 1), need = need(m, c.items + 1);
+        double time = timeout(now, m, e, c);
+        // What is short of time goes with its like; what must not be repeated gets all the time it wants.
+        double least = m.c.effect() == Effect.UNSAFE ? own : most < need ? 0 : Math.min(own, need);
+        return least <= time && time <= most;
     }
 
     private boolean hasIdle(double now, Endpoint e) {
-        while (!e.idle.isEmpty() && now - e.idle.peekFirst() > cfg.limits().connectionIdleMs() - TICK_MS) {
-            e.idle.removeFirst();
-        }
+        e.idle.removeIf(at -> now - at > cfg.limits().connectionIdleMs() - TICK_MS);
         return !e.idle.isEmpty();
     }
 
-    /**
-     * Where few connections are taken, idle ones of relays that call seldom leave no room for the others: a
-     * place that is kept serves nobody until our next call, a new connection takes it a handshake longer.
-     */
+    /** Where few connections are taken, one that who calls seldom keeps serves nobody until the next call. */
     private boolean leavesRoom(double now, Endpoint e) {
         if (crowdedUntil[e.kindNo] <= now || e.dest.waiting > 0) { return false; }
         double rate = part(now, e.unit) / e.unit.active();
@@ -852,13 +842,12 @@
             if (e.doorAt > now) { return later(e.doorAt); }
             if (e.inflight >= e.places) { return false; } // the next end opens it
         }
-        refill(now, u);
-        return lane != null || u.tokens >= 1 || later(now + (1 - u.tokens) / u.pace * 1000);
+        return lane != null || paced(now, e) <= now || later(paced(now, e));
     }
 
     private void send(double now, Msg m, Endpoint e) {
         Call c;
-        if (joins(now, e, m.lane)) {
+        if (joins(now, e, m)) {
             c = e.round;
         } else {
             c = new Call();
@@ -879,6 +868,8 @@
             refill(now, e.unit);
             if (m.lane == null) { e.unit.tokens -= 1; } else { m.lane.used(now); }
         }
+        c.timeoutMs = timeout(now, m, e, c);
+        c.mostMs = Math.min(c.mostMs, most(now, m));
         c.items++;
         c.open++;
         if (e.cold()) {
@@ -890,22 +881,35 @@
         m.out = true;
         m.dest.waiting--;
         if (m.ordered()) { orders.get(m.m.key()).out++; }
-        act.send(m.m.id(), e.name, timeout(now, m, e, c), leavesRoom(now, e));
+        act.send(m.m.id(), e.name, c.timeoutMs, leavesRoom(now, e));
     }
 
+    /** The time of a call with one message more: as long as any of them wants and all of them allow. */
     private double timeout(double now, Msg m, Endpoint e, Call c) {
-        double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (c.items - 1));
+        double most = Math.min(c.mostMs, most(now, m));
+        return Math.max(1, Math.max(c.timeoutMs, Math.min(patience(m, e, c.items + 1), most)));
+    }
+
+    /** How long an answer is worth waiting for. */
+    private double patience(Msg m, Endpoint e, int items) {
+        double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (items - 1));
         double patience = Math.max(LEAST_TIMEOUT_MS, TIMEOUT_CALLS * usual * Math.max(1, e.slowness / 2))
                 * Math.pow(PAUSE_GROWTH, Math.min(m.pauses, e.failRun));
         // Answers get lost everywhere: waiting for them only fills the slots. Also against our own network if
         // it drops calls. Where an endpoint is slow or fails in a row its time-out stays long.
-        if (lost > MANY_LOST && e.failRun == 0 && e.slowness < LIVELY) { patience *= LOST_SHARE; }
-        if (m.c.effect() == Effect.KEYED) {
-            patience = Math.min(patience, Math.max(WINDOW_SHARE * m.c.windowMs(), OUTLIER * usual));
-        }
-        return Math.max(1, Math.min(patience, m.m.deadlineAt() - now));
+        return lost > MANY_LOST && e.failRun == 0 && e.slowness < LIVELY ? patience * LOST_SHARE : patience;
+    }
+
+    /** How long a message allows to wait: its time left, and a part of its key's window. */
+    private double most(double now, Msg m) {
+        double left = m.m.deadlineAt() - now;
+        if (m.c.effect() != Effect.KEYED) { return left; }
+        return Math.min(left, Math.max(WINDOW_SHARE * m.c.windowMs(), OUTLIER * usual(m.dest, m.type)));
     }
 
+    /** What a call needs to be answered, but for such as are slow beyond all others. */
+    private double need(Msg m, int n) { return OUTLIER * usual(m.dest, m.type) * (1 + EXTRA_ITEM * (n - 1)); }
+
     private double jittered(double ms) { return ms * (1 - JITTER + 2 * JITTER * random.nextDouble()); }
 
     private static long key(long id, int attempt) { return id << 20 | attempt; }
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -119,7 +119,10 @@
 
     /** What a relay may ask of its host. */
     interface Actions {
-        /** Calls an endpoint with a message; {@code last} if its connection is not to be kept afterwards. */
+        /**
+         * Calls an endpoint with a message; {@code last} if its connection is not to be kept afterwards. What is sent to
+         * one endpoint in one round shares calls in that order; a call's time is the longest that was told with it.
+         */
         void send(long id, String endpoint, double timeoutMs, boolean last);
 
         /** Abandons the wait for an attempt. */
@@ -151,11 +154,12 @@
     void taken(double now, Message message);
 
     /**
-     * The connection for an attempt is there, later than the round that asked for it: whether it may still be written.
-     * Asked right before the write, from which it counts then; one that may not has to end as {@link Result#WITHHELD}.
+     * The connection for an attempt is there, later than the round that asked for it: for how many milliseconds its
+     * answer may be waited for, 0 if it may not be written any more. Asked right before the write, from which it counts
+     * then; one that may not has to end as {@link Result#WITHHELD}. A call has the least time of those that go.
      */
-    default boolean mayGo(double now, long id, int attempt) {
-        return true;
+    default double mayGo(double now, long id, int attempt) {
+        return Double.POSITIVE_INFINITY;
     }
 
     /** An attempt ended. */
@@ -168,7 +172,7 @@
     default void waits(double now, String endpoint, long id, int attempt, double waitMs) { }
 
     /** The answer to an attempt of a streamed class has begun. */
-    void begun(double now, long id, int attempt);
+    default void begun(double now, long id, int attempt) { }
 
     /** Nobody wants the message any more; its attempts run on. */
     void withdrawn(double now, long id);
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -60,10 +60,12 @@
         default void unwritten(long id, int attempt) { }
     }
 
-    /** Who decides whether a message goes; see {@link firstair.control.Controller#mayGo}. */
+    /** Who decides whether a message goes, and with how much time; see {@link firstair.control.Controller#mayGo}. */
     public interface Decider {
-        /** Asked when the connection is there. */
-        boolean mayGo(long id, int attempt);
+        /**
+         * Asked when the connection is there: for how many milliseconds its answer may be waited for, 0 if it may not go.
+         */
+        double mayGo(long id, int attempt);
     }
 
     /** @param told hears how each message of a call ended */
@@ -195,6 +197,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Set<String> ids = Set.of(); // all that it was written with
         private boolean bundle;             // it was written with several
+        private double timeoutMs; // of all its messages, from its write on
         private double latestAt; // by then its own timers have ended it
         private Link link; // that carries it or is to, null until there is one
         private boolean fresh; // on a connection of its own making
@@ -202,6 +205,8 @@
         private boolean written;
         private boolean over;
         private boolean expired; // given up, and the endpoint may not know it yet
+        private boolean settled; // delivered by a first line that came before that
+        private volatile boolean ending; // its connection has told its end, and the loop is yet to hear it
         private double toldMs; // the wait that has been told on
         private volatile int first; // status of a first line that has come
         private volatile Head head;
@@ -213,31 +218,35 @@
             this.to = addresses.get(endpoint);
             this.items = new ArrayList<>(items);
             this.lead = items.get(0);
-            this.latestAt = latest(startedAt, patience(startedAt));
+            this.timeoutMs = items.stream().mapToDouble(Item::timeoutMs).max().orElse(0); // what the last one joined
+            this.latestAt = latest(startedAt, timeoutMs);
         }
 
-        /** How long an answer to a request that is written now is waited for. */
+        /** How long the answer to a request that is written now is waited for: no message of it outlives the call. */
         private double patience(double now) {
-            return items.stream().mapToDouble(i -> Math.max(1, Math.min(i.timeoutMs(), i.deadlineAt() - now))).max()
-                    .orElse(0);
+            double least = items.stream().mapToDouble(i -> i.deadlineAt() - now).min().orElse(0);
+            return Math.max(1, Math.min(timeoutMs, least));
         }
 
         private double latest(double now, double patience) {
             return now + patience + limits.haltMs() + limits.answerMs() + 2 * limits.sweepMs();
         }
 
-        /** Ends it when its time is up, and each message when its own is. */
+        /** Ends it when its time is up, with all its messages. */
         private void limit(double now, double patience) {
             timers.forEach(Loop.Timer::cancel);
             timers.clear();
             latestAt = latest(now, patience);
             timers.add(loop.after(patience, this::expire));
+        }
+
+        /** While nothing of it is written, a message whose own time is up leaves the others alone. */
+        private void limitUnwritten(double now) {
+            double longest = items.stream().mapToDouble(i -> i.deadlineAt() - now).max().orElse(0);
+            limit(now, Math.max(1, Math.min(timeoutMs, longest)));
             for (Item i : items.size() > 1 ? items : List.<Item>of()) {
-                // Messages of a call share its fate, but none is waited for beyond its own time.
-                double left = i.deadlineAt() - now;
-                if (left < patience) {
-                    timers.add(loop.after(left, () -> end(i, new Answers.End(Result.TIMEOUT, false), 0, Load.NONE)));
-                }
+                timers.add(loop.after(Math.max(1, i.deadlineAt() - now),
+                        () -> end(i, new Answers.End(Result.CONNECT_FAILED, false), 0, Load.NONE)));
             }
         }
 
@@ -271,7 +280,7 @@
                     return;
                 }
             }
-            limit(now, patience(now));
+            limitUnwritten(now);
             if (rests == null) {
                 open();
                 return;
@@ -305,11 +314,16 @@
         }
 
         void ask(Decider decider) {
+            double least = timeoutMs;
             for (Item i : List.copyOf(items)) {
-                if (!decider.mayGo(i.id(), i.attempt())) {
+                double ms = decider.mayGo(i.id(), i.attempt());
+                if (ms > 0) {
+                    least = Math.min(least, ms);
+                } else {
                     withhold(i);
                 }
             }
+            timeoutMs = least;
             if (!over && !to.equals(addresses.get(endpoint))) {
                 link.leave();
                 ended(Result.CONNECT_FAILED); // it has moved: another one may be there by now
@@ -373,10 +387,7 @@
         public void begun() {
             loop.post(() -> {
                 if (!over) {
-                    timers.add(loop.after(limits.answerMs(), () -> {
-                        link.leave();
-                        ended(Result.RESET);
-                    }));
+                    timers.add(loop.after(limits.answerMs(), () -> leave(Result.RESET)));
                 }
             });
         }
@@ -421,11 +432,13 @@
         @Override
         public void done(boolean reusable, boolean alone) {
             double at = loop.now();
+            ending = true;
             loop.post(() -> answered(at, reusable, alone));
         }
 
         @Override
         public void broken(boolean maybeArrived) {
+            ending = true;
             loop.post(() -> ended(expired ? Result.TIMEOUT : maybeArrived ? Result.RESET : Result.CONNECT_FAILED));
         }
 
@@ -433,6 +446,10 @@
             if (over) {
                 return;
             }
+            if (expired) { // it answers a call that we had ended: the endpoint may not count it, and must not be believed
+                ended(Result.TIMEOUT);
+                return;
+            }
             Answers.End all = Answers.of(head, bundle, fresh);
             Map<String, String> ends = all == null ? Bundles.read(body.toByteArray(), ids) : Map.of();
             if (ends == null || all != null && !alone && all.result() != Result.OK) {
@@ -453,37 +470,50 @@
 
         /**
          * The call ended without a whole answer. A first line alone delivers a call with one message; anything else
-         * that it says proves nothing, but a wait that was told is kept.
+         * that it says proves nothing, but a wait that was told is kept. Behind our own end nothing delivers.
          */
         private void ended(Result result) {
             if (over) {
                 return;
             }
-            boolean delivered = first == DELIVERED && !bundle;
+            boolean delivered = expired ? settled : firstLineDelivers();
             for (Item i : List.copyOf(items)) {
                 end(i, delivered ? new Answers.End(Result.OK, true) : new Answers.End(result, false), waitMs,
                         head == null ? Load.NONE : Answers.load(head));
             }
         }
 
+        private boolean firstLineDelivers() {
+            return first == DELIVERED && !bundle;
+        }
+
         /**
          * The endpoint counts the call until it has seen its end. Were the time-out told before, a call sent in
          * its place would often find all slots taken and cost its message an attempt.
          */
         private void expire() {
-            if (over || expired) {
+            if (over || expired || ending) {
                 return;
             }
+            boolean before = firstLineDelivers();
             if (link != null && link.halt()) {
                 expired = true;
-                timers.add(loop.after(limits.haltMs(), this::leave));
+                settled = before;
+                timers.add(loop.after(limits.haltMs(), () -> leave(Result.TIMEOUT)));
             } else {
-                leave();
+                leave(Result.TIMEOUT);
             }
         }
 
-        private void leave() {
-            ended(link != null && link.leave() ? Result.TIMEOUT : Result.CONNECT_FAILED);
+        /**
+         * Waits no longer. A connection that has told the end of the call by now, behind the events of this round, is
+         * not asked: it has nothing out any more, which is no sign that the request never arrived.
+         */
+        private void leave(Result sent) {
+            boolean arrived = !ending && link != null && link.leave();
+            if (!ending) {
+                ended(arrived ? sent : Result.CONNECT_FAILED);
+            }
         }
 
         /** What became of it is not known; it never ran only where nothing of it was written. */
