Try: a call's time is opened for those with little less of it

Cause: with one time, messages short of time joined a call only in the order of their deadlines. Change: a call opens with the least time of those waiting beside its first message that have three quarters of its time.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -25,6 +25,7 @@
     private static final double LOST_SHARE = 0.5;          // of the time-out while answers get lost
     private static final double WINDOW_SHARE = 0.6;        // of a key's window that one attempt may use up
     private static final double EXTRA_ITEM = 0.15;         // work of a further message in a call, in calls
+    private static final double LIKE = 0.75;               // what has so much of a call's time may go with it
     private static final double SELDOM = 0.5;              // calls a second; who calls less is one of many
     private static final int SELDOM_DOWN_AFTER = 2;        // failures in a row for it; all add up at a return
     private static final double SILENT_MS = 700;           // answered within it, a destination is not down
@@ -855,6 +856,7 @@
             c.lane = m.lane;
             c.sentAt = now;
             c.trial = e.down;
+            c.mostMs = e.kind.bundleMax() > 1 && m.c.effect() != Effect.UNSAFE ? alike(now, m, e) : FOREVER;
             e.round = c;
             e.inflight++;
             e.dest.inflight++;
@@ -890,6 +892,16 @@
         return Math.max(1, Math.max(c.timeoutMs, Math.min(patience(m, e, c.items + 1), most)));
     }
 
+    /** The time of a call with which what waits beside its first message, and has little less time, may go. */
+    private double alike(double now, Msg m, Endpoint e) {
+        double time = Math.min(patience(m, e, 1), most(now, m)), least = time;
+        for (Msg x : held.values()) {
+            boolean goes = x.dest == m.dest && !x.out && x.notBefore <= now && most(now, x) >= LIKE * time;
+            if (goes) { least = Math.min(least, most(now, x)); }
+        }
+        return least < time ? least : FOREVER;
+    }
+
     /** How long an answer is worth waiting for. */
     private double patience(Msg m, Endpoint e, int items) {
         double usual = usual(m.dest, m.type) * (1 + EXTRA_ITEM * (items - 1));
