Fleets beyond 300 relays, and counts of calls beyond 64 destinations a second

Found: fleet.peers 300, results kept of 512 proposers, 64 names in a second of the counts of calls (the 65th destination of a second was dropped), 64 frames waiting whatever the fleet's size, a backlog of 512 whatever the clients that may be open. Change: 1,500 relays, 1,800 proposers, 4,096 names a second within 65,536 records of a member, frames and datagrams that wait by members (bytes bounded as before), backlog by the clients that may be open. Other defaults stay.

--- a/src/main/java/firstair/fleet/count/Counts.java
+++ b/src/main/java/firstair/fleet/count/Counts.java
@@ -23,7 +23,8 @@
     private static final double SECOND_MS = 1000;
     private static final int MOST_SECONDS = 130;    // of one process: a clock that is a little fast, and some to spare
     private static final int MOST_PROCESSES = 4;    // of one member: the newest ones
-    private static final int MOST_NAMES = 64;       // in one second of one process
+    private static final int MOST_NAMES = 4096;     // in one second of one process
+    private static final int MOST_RECORDS = 1 << 16; // of one member: 1,024 names in each second that is kept
     private static final int LONGEST_NAME = 200;
     private static final long HIGHEST = 1_000_000_000_000L; // far above what a second can hold; sums stay exact
 
@@ -36,6 +37,7 @@
     private static final class Process {
         final TreeMap<Long, Second> seconds = new TreeMap<>();
         long forgotten = Long.MIN_VALUE;              // seconds up to this one never come back
+        int records;                                  // names in all its seconds
     }
 
     private final Setup setup;
@@ -56,8 +58,8 @@
         }
         forget(now);
         long second = (long) Math.floor(now / SECOND_MS);
-        Second s = second(setup.self(), incarnation, second);
-        if (s != null && room(s, what)) {
+        Second s = second(setup.self(), incarnation, second, what);
+        if (s != null) {
             s.startedAt = second * SECOND_MS;
             s.totals.merge(what, Math.min(calls, HIGHEST), (a, b) -> Math.min(HIGHEST, a + b));
         }
@@ -83,8 +85,8 @@
             boolean ours = setup.self().equals(c.member()) && c.incarnation() >= incarnation;
             boolean sound = isName(c.member()) && setup.members().contains(c.member()) && isName(c.what())
                     && c.total() >= 0 && c.total() <= HIGHEST && c.ageMs() >= 0 && c.ageMs() < KEPT_MS;
-            Second s = ours || !sound ? null : second(c.member(), c.incarnation(), c.second());
-            if (s == null || !room(s, c.what())) {
+            Second s = ours || !sound ? null : second(c.member(), c.incarnation(), c.second(), c.what());
+            if (s == null) {
                 dropped++;
                 continue;
             }
@@ -126,12 +128,8 @@
         return what != null && !what.isEmpty() && what.length() <= LONGEST_NAME;
     }
 
-    private static boolean room(Second s, String what) {
-        return s.totals.containsKey(what) || s.totals.size() < MOST_NAMES;
-    }
-
-    /** The second of a process, made if need be; null if it is forgotten or there is no room. */
-    private Second second(String member, long process, long second) {
+    /** The second of a process, made if need be, with room for a name; null if it is forgotten or there is none. */
+    private Second second(String member, long process, long second, String what) {
         TreeMap<Long, Process> processes = members.computeIfAbsent(member, m -> new TreeMap<>());
         Process p = processes.get(process);
         if (p == null) {
@@ -147,14 +145,29 @@
         if (second <= p.forgotten || !p.seconds.containsKey(second) && p.seconds.size() >= MOST_SECONDS) {
             return null;
         }
-        return p.seconds.computeIfAbsent(second, s -> new Second());
+        Second s = p.seconds.get(second);
+        if (s == null || !s.totals.containsKey(what)) {
+            int records = processes.values().stream().mapToInt(x -> x.records).sum();
+            if (records >= MOST_RECORDS || s != null && s.totals.size() >= MOST_NAMES) {
+                return null;
+            }
+            p.records++;
+        }
+        if (s == null) {
+            s = new Second();
+            p.seconds.put(second, s);
+        }
+        s.totals.putIfAbsent(what, 0L);
+        return s;
     }
 
     private void forget(double now) {
         for (TreeMap<Long, Process> processes : members.values()) {
             for (Process p : processes.values()) {
                 while (!p.seconds.isEmpty() && now - p.seconds.firstEntry().getValue().startedAt >= KEPT_MS) {
-                    p.forgotten = p.seconds.pollFirstEntry().getKey();
+                    Map.Entry<Long, Second> oldest = p.seconds.pollFirstEntry();
+                    p.forgotten = oldest.getKey();
+                    p.records -= oldest.getValue().totals.size();
                 }
             }
         }
--- a/src/main/java/firstair/fleet/ledger/Agreements.java
+++ b/src/main/java/firstair/fleet/ledger/Agreements.java
@@ -20,7 +20,7 @@
     public static final int BOOKINGS = 2;
 
     static final int KEPT = 64;
-    private static final int MOST_PROPOSERS = 512; // more than a fleet has members
+    private static final int MOST_PROPOSERS = 1800; // more than a fleet has members
 
     /** What is known of the proposals of one member. */
     private static final class Proposer {
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -93,7 +93,7 @@
     private static final double CROWD_SHARE = 1.0 / 6;   // of all descriptors: half of what clients hold at most
     private static final double HEAP_SHARE = 0.5;        // of the heap, for what clients are sending
     private static final int READ_BUFFER = 16 * KIB;     // most requests come in one read
-    private static final int BACKLOG = 512;              // as many as may be open
+    private static final int BACKLOG = 512;              // or as many as may be open, if that is more
     private static final int LIST_LINE = 4 * KIB * KIB;  // a list of some ten thousand endpoints
     private static final int LIST_HEAPS = 32;            // of such in the heap; read, one takes fifteen times as much
     // Times.
@@ -131,8 +131,8 @@
         int clients = (int) Math.min(connections * CLIENT_SHARE, heapBytes * HEAP_SHARE / (MAX_BODY + MAX_HEAD));
         double idle = connectionIdleMs > 0 ? connectionIdleMs : USUAL_IDLE_MS;
         return new Limits(open, (diskMb > 0 ? diskMb : USUAL_DISK_MB) * BYTES_PER_MB, MAX_BODY, MAX_HEAD, clients,
-                (int) Math.min(clients / 2, open * CROWD_SHARE), connections - clients, READ_BUFFER, BACKLOG,
-                Math.max(0, roundMs), connectMs > 0 ? connectMs : USUAL_CONNECT_MS,
+                (int) Math.min(clients / 2, open * CROWD_SHARE), connections - clients, READ_BUFFER,
+                Math.max(BACKLOG, clients), Math.max(0, roundMs), connectMs > 0 ? connectMs : USUAL_CONNECT_MS,
                 Math.max(idle / 2, idle - IDLE_GUARD_MS), HALT_MS, SWEEP_MS, EMPTY_MS, ANSWER_MS, REST_MS, FIRST_MS,
                 REQUEST_MS, CROWDED_MS, CLIENT_IDLE_MS, LINGER_MS, LINGER_BYTES, LIST_ANSWER_MS, LIST_SILENCE_MS,
                 (int) Math.min(LIST_LINE, heapBytes / LIST_HEAPS), new Notices(NOTICE_DUE_MS, NOTICE_RETURN_MS,
--- a/src/main/java/firstair/relay/Own.java
+++ b/src/main/java/firstair/relay/Own.java
@@ -89,7 +89,7 @@
                         "our name among the peers; empty is the relay's name in its configuration")
                 .item("listen", Kind.TEXT, "", 0, 260, false,
                         "where relays reach us as host:port, by UDP and TCP; empty is our address among the peers")
-                .item("peers", Kind.NAMES, "", 0, 300, false,
+                .item("peers", Kind.NAMES, "", 0, 1500, false,
                         "all relays as name=host:port, ours too, in the same order everywhere")
                 .item("voters", Kind.NAMES, "", 0, 5, false, "3 or 5 of them, who decide by majority")
                 .item("hello", Kind.DURATION, "500ms", 20, MIN, false, "pause between hellos")
--- a/src/main/java/firstair/relay/fleet/PeerWire.java
+++ b/src/main/java/firstair/relay/fleet/PeerWire.java
@@ -56,7 +56,9 @@
 
         /** Bounds for a fleet of so many relays. */
         public static Bounds of(int members) {
-            return new Bounds(DATAGRAM, 1 << 20, 1024, 64, 2 << 20, 32, 2 << 20, 4 << 20, 5000, 60_000, 1000,
+            // All may speak at the same moment; the bytes of frames are bounded whatever their number.
+            return new Bounds(DATAGRAM, 1 << 20, Math.max(1024, 4 * members), Math.max(64, members), 2 << 20, 32,
+                    2 << 20, 4 << 20, 5000, 60_000, 1000,
                     2 * members + 8); // a peer that starts anew may have one connection of before
         }
     }
--- a/src/test/java/firstair/fleet/count/CountsTest.java
+++ b/src/test/java/firstair/fleet/count/CountsTest.java
@@ -80,6 +80,41 @@
         assertThat(counts.total(50_000, "d:7", 9000).sum()).isEqualTo(7);
     }
 
+    /** A relay with many destinations: each second of a minute it calls 1,024 of them. */
+    @Test
+    void callsOfAThousandDestinationsAreCountedThroughAMinute() {
+        Counts other = new Counts(other("b"), 1);
+        for (int second = 0; second < 60; second++) {
+            for (int i = 0; i < 1024; i++) {
+                other.add(second * 1000, "d:" + i, 1);
+                counts.add(second * 1000, "d:" + i, 1);
+            }
+            counts.heard(second * 1000, other.tell(second * 1000, 1));
+        }
+        for (int i = 0; i < 1024; i++) {
+            assertThat(counts.total(59_900, "d:" + i, 60_000).sum()).as("destination %s", i).isEqualTo(120);
+        }
+        assertThat(counts.dropped()).isZero();
+    }
+
+    /** One that makes up names, in one second or in all that are kept, costs bounded memory, and gets room again. */
+    @Test
+    void namesWithoutEndAreDroppedUntilOldOnesAreForgotten() {
+        for (int i = 0; i < 5000; i++) {
+            counts.heard(0, new Note.Counts(List.of(new Note.Count("b", 1, "x" + i, 0, 1, 0))));
+        }
+        assertThat(counts.dropped()).isEqualTo(5000 - 4096);
+        for (int i = 4096; i < 1 << 16; i++) {
+            counts.heard(0, new Note.Counts(List.of(new Note.Count("b", 2, "x" + i, 1 + i % 100, 1, 0))));
+        }
+        assertThat(counts.dropped()).isEqualTo(5000 - 4096);
+        counts.heard(0, one("b", 2, 1, 1, 0));
+        assertThat(counts.dropped()).isEqualTo(5000 - 4096 + 1);
+        counts.heard(60_000, one("b", 2, 200, 1, 0));
+        assertThat(counts.dropped()).isEqualTo(5000 - 4096 + 1);
+        assertThat(counts.total(60_000, "d:7", 60_000).sum()).isEqualTo(1);
+    }
+
     @Test
     void whatCannotBeIsDroppedAndMemoryIsBounded() {
         List.of(one("x", 1, 3, 7, 0), one("b", 1, 3, -7, 0), one("b", 1, 3, Long.MAX_VALUE, 0),
--- a/src/test/java/firstair/fleet/ledger/AgreementsTest.java
+++ b/src/test/java/firstair/fleet/ledger/AgreementsTest.java
@@ -37,6 +37,17 @@
         assertThat(all.version()).isEqualTo(version);
     }
 
+    @Test
+    void aDoubledProposalOfALargeFleetCountsOnceToo() {
+        Outcome first = apply("r0", 1, 1, put(0, 5));
+        for (int n = 1; n < 1500; n++) {
+            apply("r" + n, 1, 1, put(n, 5));
+        }
+        long version = all.version();
+        assertThat(put(apply("r0", 1, 1, put(0, 5)))).isEqualTo(put(first));
+        assertThat(all.version()).isEqualTo(version);
+    }
+
     @Test
     void whatIsOlderThanWhatIsRememberedIsRefusedNotRunAgain() {
         for (int n = 1; n <= Agreements.KEPT + 1; n++) {
--- a/src/test/java/firstair/relay/LimitsTest.java
+++ b/src/test/java/firstair/relay/LimitsTest.java
@@ -16,6 +16,14 @@
         }
     }
 
+    @Test
+    void asManyMayWaitToBeAcceptedAsMayBeOpen() {
+        for (int sockets : new int[] {96, 1024, 4096}) {
+            Limits l = Limits.of(sockets, 3, 1_000_000_000, 5, 1000, 10_000);
+            assertThat(l.backlog()).as("with %s", sockets).isGreaterThanOrEqualTo(Math.max(512, l.maxClients()));
+        }
+    }
+
     @Test
     void connectionsAreClosedBeforeTheEndpointWouldHoweverShortThatIs() {
         for (double idle : new double[] {100, 300, 10_000}) {
--- a/src/test/java/firstair/relay/fleet/FleetConfigTest.java
+++ b/src/test/java/firstair/relay/fleet/FleetConfigTest.java
@@ -78,6 +78,17 @@
         }
     }
 
+    @Test
+    void aFleetMayHaveMoreThanAThousandRelays() throws Exception {
+        StringBuilder peers = new StringBuilder(THREE);
+        for (int i = 3; i < 1200; i++) {
+            peers.append(",r").append(i).append("=10.0.").append(i / 200).append('.').append(i % 200).append(":7000");
+        }
+        set.put("fleet.peers", peers.toString());
+        assertThat(fleet().setup().members()).hasSize(1200).startsWith("c", "a", "b").endsWith("r1199");
+        assertThat(fleet().setup().sure()).isPositive();
+    }
+
     @Test
     void aFileOfAProcessIsReadWhole() throws Exception {
         Path contracts = Files.writeString(folder.resolve("contracts.toml"), CONTRACTS);
--- a/src/test/java/firstair/relay/fleet/PeerWireTest.java
+++ b/src/test/java/firstair/relay/fleet/PeerWireTest.java
@@ -62,6 +62,16 @@
         return all;
     }
 
+    @Test
+    void theBoundsOfALargeFleetLeaveRoomForAllItsRelaysAndBoundBytes() {
+        PeerWire.Bounds large = PeerWire.Bounds.of(1200);
+        assertThat(large.connections()).isGreaterThan(1200);
+        assertThat(large.datagrams()).isGreaterThanOrEqualTo(1200);
+        assertThat(large.frames()).isGreaterThanOrEqualTo(1200);
+        assertThat(large.frameBytes()).isEqualTo(USUAL.frameBytes());
+        assertThat(large.allBytes()).isEqualTo(USUAL.allBytes());
+    }
+
     private void send(PeerWire from, String to, byte[] bytes) {
         loop.post(() -> from.send(to, bytes));
     }
