--- a/src/main/java/firstair/kit/run/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -35,6 +35,7 @@
     private String known;
     private final List<String> log = new ArrayList<>();
     private String config;
+    private int memoryMb = 192;
     private int diskMb = 3;
     private int sockets = 1024;
     private String listen = "127.0.0.1:0";
@@ -59,6 +60,11 @@
         this.known = known;
     }
 
+    /** Memory that it may hold, MB. */
+    public void memoryMb(int mb) {
+        memoryMb = mb;
+    }
+
     /** Room for the lasting folder. */
     public void diskMb(int mb) {
         diskMb = mb;
@@ -185,8 +191,8 @@
         Path draft = folder.resolve("config.new");
         Files.writeString(draft, config != null ? config : "{\"name\":\"" + name + "\",\"listen\":\"" + listen
                 + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-                + "\"sockets\":" + sockets + ",\"disk_mb\":" + diskMb + "},\"known\":" + known
+                + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb
+                + ",\"sockets\":" + sockets + ",\"disk_mb\":" + diskMb + "},\"known\":" + known
                 + ",\"settings\":" + settings()
                 + "}");
         return Files.move(draft, file, StandardCopyOption.ATOMIC_MOVE);
@@ -327,6 +333,18 @@
         }
     }
 
+    /** What of its heap is in use once it has been collected whole, in KiB. */
+    public long liveHeapKb() throws Exception {
+        Process jcmd = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                String.valueOf(process.pid()), "GC.class_histogram").redirectErrorStream(true).start();
+        String all = new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String[] total = all.substring(Math.max(0, all.lastIndexOf("Total"))).trim().split("\\s+");
+        if (total.length != 3) {
+            throw new AssertionError("no histogram: " + all);
+        }
+        return Long.parseLong(total[2]) / 1024;
+    }
+
     /** Open descriptors, or 0 where the system does not tell. */
     public int descriptors() throws IOException {
         Path all = Path.of("/proc", String.valueOf(process.pid()), "fd");
