--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -120,8 +120,8 @@
     /** What a relay may ask of its host. */
     interface Actions {
         /**
-         * Calls an endpoint with a message; {@code last} if its connection is not to be kept afterwards. What is sent to
-         * one endpoint in one round shares calls in that order; a call's time is the longest that was told with it.
+         * Calls an endpoint with a message; {@code last} if its connection is not to be kept afterwards. What is sent
+         * to one endpoint in one round shares calls in that order; a call's time is the longest told with it.
          */
         void send(long id, String endpoint, double timeoutMs, boolean last);
 
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -63,7 +63,8 @@
     /** Who decides whether a message goes, and with how much time; see {@link firstair.control.Controller#mayGo}. */
     public interface Decider {
         /**
-         * Asked when the connection is there: for how many milliseconds its answer may be waited for, 0 if it may not go.
+         * Asked when the connection is there: for how many milliseconds its answer may be waited for, 0 if it may not
+         * go.
          */
         double mayGo(long id, int attempt);
     }
@@ -446,7 +447,7 @@
             if (over) {
                 return;
             }
-            if (expired) { // it answers a call that we had ended: the endpoint may not count it, and must not be believed
+            if (expired) { // it answers a call that we had ended, which the endpoint may not count any more
                 ended(Result.TIMEOUT);
                 return;
             }
--- a/src/test/java/firstair/control/SharedCallTest.java
+++ b/src/test/java/firstair/control/SharedCallTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A call that several messages share has one time, which is that of each of them: none ends before it or outlives it, and
- * nobody's time-out is cut by a message that joins.
+ * A call that several messages share has one time, which is that of each of them: none ends before it or outlives it,
+ * and nobody's time-out is cut by a message that joins.
  */
 class SharedCallTest {
     private static final String A = "1/0/a";
--- a/src/test/java/firstair/relay/endpoints/SharedCallsTest.java
+++ b/src/test/java/firstair/relay/endpoints/SharedCallsTest.java
@@ -146,8 +146,8 @@
     // ---- one time ----
 
     /**
-     * The answer comes whole behind the time of the shortest of them: it was the call's time, so it is nobody's. Each has
-     * its outcome in the same round, at that time.
+     * The answer comes whole behind the time of the shortest of them: it was the call's time, so it is nobody's. Each
+     * has its outcome in the same round, at that time.
      */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
