--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -431,7 +431,6 @@
             if (e.down) { act.report("endpoint " + e.name + " answers again, ramping up"); }
             if (e.down || e.coldSince == FOREVER) {
                 e.coldSince = now;
-                e.rampOwed = 0;
                 u.endpoints.forEach(x -> x.trialAt = Math.min(x.trialAt, now + jittered(FIRST_TRIAL_MS)));
             }
             if (!e.down && now - e.noConnAt < CROWD_MS) { crowdedUntil[e.kindNo] = FOREVER; }
@@ -471,7 +470,7 @@
                 u.endpoints.forEach(x -> coldFrom(u.waitUntil, x));
                 return;
             }
-            if (!shut) { return; }
+            if (!shut && !(room && o.load().allowanceLeft() > MUCH_LEFT)) { return; } // much left: shut too
         }
         if (o.result() == Result.CONNECT_FAILED && !e.down) {
             e.noConnAt = now;
@@ -507,8 +506,8 @@
     private void coldFrom(double at, Endpoint e) {
         e.down = false;
         e.coldSince = at;
-        e.rampOwed = 1 + EXTRA_ITEM * (e.kind.bundleMax() - 1); // it may carry all that a call can
-        e.rampAt = at - random.nextDouble() * e.rampOwed * e.unit.active() * 1000 / coldRate(at, e.unit, 0);
+        e.rampOwed = random.nextDouble() * (1 + EXTRA_ITEM * (e.kind.bundleMax() - 1)); // of a full call
+        e.rampAt = at;
     }
 
     /** A refusal: keep a told wait, take an own one otherwise, and slow down where it may be a limit. */
@@ -841,11 +840,12 @@
                 e.coldSince = Double.NaN;
                 e.trials = 0;
             } else {
-                // The rate grows meanwhile: what was due by the rate of the last call may go sooner.
+                // The rate grows meanwhile: by its mean since then, or all who wait would gain by it at once.
                 double since = e.coldSince == FOREVER ? 0 : now - e.coldSince;
-                double owed = e.rampOwed * u.active();
-                double rest = e.rampAt + owed * 1000 / coldRate(now, u, since) - now;
-                if (rest > 0) { return later(now + Math.min(rest, RAMP_LOOK_MS)); }
+                double waited = now - e.rampAt;
+                double mean = coldRate(now, u, Math.max(0, since - waited / 2));
+                double owed = e.rampOwed * u.active() * 1000 - mean * waited;
+                if (owed > 0) { return later(now + Math.min(owed / coldRate(now, u, since), RAMP_LOOK_MS)); }
             }
         }
         if (!hasIdle(now, e) && now - e.awayAt < CROWDED_MS) {
