What never ran comes back for our own pace or trial only after seven tenths of its time

Change: `drop` keeps what surely never ran to seven tenths of its time with us, as long as a call could land; a told wait that ends too late, no try left and doubt end it at once as before. Told waits are kept apart from pauses of ours (`toldUntil`). `makeRoom` counts the price of an early return. 0.7 and 0.3 are the operators' terms, named constants.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -80,6 +80,8 @@
     private static final double LOOKAHEAD_MS = 1500;       // how far the loss by waiting is looked at
     private static final double BASE_WORTH = 0.1;          // weight of worth that waiting does not lose
     private static final double CROWD_WORTH = 1;           // the same where not all that waits can go
+    private static final double EARLY = 0.7;               // of a message's time; returned sooner with no
+    private static final double EARLY_PRICE = 0.3;         // try, it costs so much of its worth (operators)
     private static final double ROOM = 0.06;               // share of the open messages kept free
     private static final double ASK_AGAIN_MS = 400;        // pause before asking for the list again
     private static final double TICK_MS = 5;               // wake-ups are no closer than this
@@ -90,7 +92,8 @@
         MessageClass c;
         Dest dest;
         int type, tries, pauses;
-        double handedAt, notBefore, rank;   // first handed in, by its deadline; end of its pause; its turn
+        double handedAt, takenAt;           // first handed in, by its deadline; handed to us
+        double notBefore, rank;             // end of its pause; its turn
         double doubtAt = Double.NaN;        // first send that may have run, NaN if none
         int doubtZone = -1;                 // zone of that send, -1 if unknown
         boolean out, over;                  // an attempt is in flight; the final answer is known
@@ -124,7 +127,7 @@
         final Dest dest;
         final Kind kind;
         final List<Endpoint> endpoints = new ArrayList<>();
-        double waitUntil = NEVER, okAt = NEVER, cutAt = NEVER;
+        double waitUntil = NEVER, toldUntil = NEVER, okAt = NEVER, cutAt = NEVER; // told: not by us
         double limit;                       // calls a second reported, 0 if none
         double rate = FOREVER, tokens = 1;  // our pace, calls a second, and the calls that may go now
         double pace = FOREVER;              // the same within what the fleet leaves to us
@@ -282,7 +285,7 @@
         m.dest = dests.computeIfAbsent(message.destination(), k -> new Dest());
         m.dest.taken++;
         m.handedAt = Math.min(now, message.deadlineAt() - m.c.deadlineMs());
-        m.notBefore = now;
+        m.notBefore = m.takenAt = now;
         // A refusal proves that an unsafe message never ran; a relay that died or was silent proves nothing.
         if (message.fromDeadRelay() || message.again() && m.c.effect() != Effect.UNSAFE) {
             m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
@@ -355,7 +358,8 @@
     /** A wait binds whichever message learned it; when it is over, chance spreads the relays. */
     private void bind(double now, Unit u, double waitMs) {
         double spread = part(now, u) < SELDOM ? SELDOM_SPREAD_MS : SPREAD_MS;
-        u.waitUntil = Math.max(u.waitUntil, now + waitMs + 1 + random.nextDouble() * spread);
+        u.toldUntil = Math.max(u.toldUntil, now + waitMs + 1 + random.nextDouble() * spread);
+        u.waitUntil = Math.max(u.waitUntil, u.toldUntil);
     }
 
     @Override public void ended(double now, Outcome o) {
@@ -531,9 +535,8 @@
 
     /** Calls a second that the unit takes from all relays as far as it is told, 0 if not. */
     private double known(Unit u) {
-        if (u.limit > 0) { return u.limit; }
-        boolean told = cfg.weight() != Weight.NONE && !u.endpoints.isEmpty();
-        double weight = told ? u.endpoints.get(u.endpoints.size() - 1).weight : 0;
+        if (u.limit > 0 || cfg.weight() == Weight.NONE || u.endpoints.isEmpty()) { return u.limit; }
+        double weight = u.endpoints.get(u.endpoints.size() - 1).weight;
         return weight / (cfg.weight() == Weight.ROUGH ? ROUGH_OFF : 1);
     }
 
@@ -648,7 +651,7 @@
         return m.tries > 0 || order.restUntil <= now || later(order.restUntil);
     }
 
-    /** Gives the final answer at once where no further attempt can be made or can land in time. */
+    /** Gives the final answer where no further attempt can be made or can land in time, if not too early. */
     private boolean drop(double now, Msg m) {
         double last = last(m);
         boolean spent = cfg.limits().maxAttempts() > 0 && m.tries >= cfg.limits().maxAttempts();
@@ -658,17 +661,16 @@
                     : m.zones != null && !m.zones.contains(m.doubtZone); // barred by now
         }
         List<Endpoint> active = m.active();
-        double opens = active.isEmpty() ? now : FOREVER;
+        double soonest = active.isEmpty() ? now : FOREVER, told = soonest;
         for (Endpoint e : active) {
             double pace = m.lane == null || e.down ? paced(now, e) : m.lane.opensAt(now);
-            opens = Math.min(opens, Math.max(e.unit.waitUntil, pace));
+            soonest = Math.min(soonest, Math.max(now, Math.max(e.unit.waitUntil, pace)));
+            told = Math.min(told, e.unit.toldUntil);
         }
-        double soonest = Math.max(now, opens);
-        if (!spent && soonest <= last) {
-            wake(last + 1);
-            return false;
-        }
-        answer(m, Math.max(0, soonest - now));
+        // Our own pace, pause or ramp may still open sooner, and is no reason to return early what never ran.
+        double until = soonest <= last ? last : told > last ? NEVER : Math.min(early(m), last);
+        if (!spent && now <= until) { return later(until + 1); }
+        answer(m, soonest - now);
         return true;
     }
 
@@ -678,6 +680,11 @@
         return Math.min(m.m.deadlineAt(), closes) - usual(m.dest, m.type);
     }
 
+    /** Until when its return is too early: what may have run is given up as soon as that is clear. */
+    private double early(Msg m) {
+        return m.inDoubt() ? NEVER : m.takenAt + EARLY * (m.m.deadlineAt() - m.takenAt);
+    }
+
     /** When the next trial is due, or the pace lets the next call go. */
     private double paced(double now, Endpoint e) {
         if (e.down) { return e.trialAt; }
@@ -703,21 +710,20 @@
         int most = cfg.limits().maxOpen();
         int over = held.size() - most + Math.max(1, (int) (most * ROOM));
         if (most <= 0 || over <= 0) { return; }
-        List<Msg> waiting = new ArrayList<>(held.values());
-        waiting.removeIf(m -> m.out);
-        waiting.forEach(m -> m.rank = hope(now, m));
-        waiting.sort(Comparator.comparingDouble((Msg m) -> m.rank));
-        waiting.subList(0, Math.min(over, waiting.size())).forEach(m -> answer(m, MOST_TRIAL_MS));
+        held.values().forEach(m -> m.rank = hope(now, m));
+        held.values().stream().filter(m -> !m.out).sorted(Comparator.comparingDouble(m -> m.rank)).limit(over)
+                .toList().forEach(m -> answer(m, MOST_TRIAL_MS));
     }
 
-    /** Worth still to be won by a waiting message: less where its destination is sick. */
+    /** What ends with a waiting message: worth to be won, less where its destination is sick, and a price. */
     private double hope(double now, Msg m) {
         double delay = FOREVER;
         for (Endpoint e : m.active()) {
             delay = Math.min(delay, Math.max(0, e.unit.waitUntil - now)
                     + (e.down ? MOST_TRIAL_MS * 2 : e.slowness > SLOW ? MOST_TRIAL_MS : 0));
         }
-        return delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
+        double won = delay == FOREVER ? 0 : worth(m, now + delay + usual(m.dest, m.type));
+        return now < early(m) ? won + EARLY_PRICE * m.c.worth() : won;
     }
 
     private double worth(Msg m, double at) {
@@ -726,11 +732,9 @@
         double aim = Math.min(c.deadlineMs(), c.aimMs() + c.aimStretch() * m.m.workMs());
         if (age <= aim) { return c.worth(); }
         if (at > m.m.deadlineAt()) { return 0; }
-        double late = age - aim;
-        double left = cfg.late() == LateCurve.HALVING
-                ? Math.max(c.lateWorth(), Math.pow(0.5, late / Math.max(1, aim)))
-                : 1 - (1 - c.lateWorth()) * late / Math.max(1, c.deadlineMs() - aim);
-        return c.worth() * left;
+        return c.worth() * (cfg.late() == LateCurve.HALVING
+                ? Math.max(c.lateWorth(), Math.pow(0.5, (age - aim) / Math.max(1, aim)))
+                : 1 - (1 - c.lateWorth()) * (age - aim) / Math.max(1, c.deadlineMs() - aim));
     }
 
     /** Worth lost by waiting, for each moment of slot time; a little for worth that waiting does not lose. */
@@ -753,18 +757,13 @@
         return !d.active.isEmpty();
     }
 
-    private int sickSlots() {
-        int sum = 0;
-        for (Dest d : dests.values()) { sum += d.inflight > 0 && sick(d) ? d.inflight : 0; }
-        return sum;
-    }
-
     private boolean slotFor(Dest d) {
         int slots = cfg.limits().slots();
-        if (slots <= 0) { return true; }
-        int half = Math.max(1, (int) (slots * SICK_CAP));
-        int most = Math.max(1, (int) (slots * CAP));
-        return slotsUsed < slots && (sick(d) ? sickSlots() < half : d.inflight < most);
+        boolean sick = sick(d);
+        int most = Math.max(1, (int) (slots * (sick ? SICK_CAP : CAP)));
+        int used = !sick ? d.inflight
+                : dests.values().stream().filter(Control::sick).mapToInt(x -> x.inflight).sum();
+        return slots <= 0 || slotsUsed < slots && used < most;
     }
 
     private void trySend(double now, Msg m) {
--- a/src/test/java/firstair/control/MechanismTest.java
+++ b/src/test/java/firstair/control/MechanismTest.java
@@ -149,6 +149,36 @@
         assertThat(b.refused).containsExactly(2L);
     }
 
+    /** A trial is ours to plan: what never ran stays for seven tenths of its time, what may have run goes at once. */
+    @Test
+    void whatATrialComesTooLateForIsReturnedOnlyAfterSevenTenthsOfItsTime() {
+        Bench b = new Bench(Bench.inGroup(100, Bench.SAFE)).endpoints("1/0/a");
+        for (int i = 0; i < 2; i++) {
+            b.take(0, 1);
+            b.decide();
+            b.endAll(Result.CONNECT_FAILED, 0);
+        }
+        assertThat(b.reports).anyMatch(r -> r.contains("sick"));
+        long untried = b.take(0, 1, null, 4_000, false);
+        long doubtful = b.take(0, 1, null, 4_000, true);
+        b.decide();
+        assertThat(b.givenUp).containsExactly(doubtful);
+        b.silence(2_750);
+        assertThat(b.refused).doesNotContain(untried);
+        b.silence(100);
+        assertThat(b.refused).contains(untried);
+    }
+
+    /** Room is made by what costs nothing to end: nothing is to be won by either here. */
+    @Test
+    void roomIsMadeByWhatMayHaveRunBeforeWhatWouldComeBackTooEarly() {
+        Bench b = new Bench(Bench.settings(Bench.SAFE));
+        for (int i = 0; i < 100; i++) { b.take(0, 1, null, 10_000, i >= 50); }
+        b.decide();
+        assertThat(b.givenUp).hasSize(6);
+        assertThat(b.refused).isEmpty();
+    }
+
     /** Incident on sapporo-main: clients that give less time than the class has are not clients that come again. */
     @Test
     void aShortDeadlineIsNotAHistory() {
