A test of silent connections between relays no longer rests on the order of accepts

Change: each connection speaks once and is heard; then the very one that is silent for longest has to end, and no other.

--- a/src/test/java/firstair/relay/fleet/PeerWireTest.java
+++ b/src/test/java/firstair/relay/fleet/PeerWireTest.java
@@ -244,16 +244,17 @@
             talks.getOutputStream().write(ByteBuffer.allocate(5).putInt(1).put((byte) 0).array());
             assertThat(next()).hasSize(1);
             for (int i = 1; i < USUAL.connections(); i++) {
-                all.add(new Socket(b.address().getAddress(), b.address().getPort()));
+                Socket s = new Socket(b.address().getAddress(), b.address().getPort());
+                all.add(s);
+                s.setSoTimeout(10);
+                s.getOutputStream().write(ByteBuffer.allocate(5).putInt(1).put((byte) 3).array());
+                assertThat(next()).as("it was accepted, and is silent from now on").containsExactly(3);
             }
             talks.getOutputStream().write(ByteBuffer.allocate(5).putInt(1).put((byte) 1).array());
-            assertThat(next()).as("all of them were accepted, now it is the newest").containsExactly(1);
+            assertThat(next()).as("now it is the one that spoke last").containsExactly(1);
             all.add(new Socket(b.address().getAddress(), b.address().getPort()));
-            List<Socket> silent = all.subList(1, all.size() - 1); // in which order they were accepted is not told
-            for (Socket s : silent) {
-                s.setSoTimeout(10);
-            }
-            Await.until("one of the silent ones", () -> silent.stream().anyMatch(PeerWireTest::ended));
+            Await.until("the one that is silent for longest", () -> ended(all.get(1)));
+            assertThat(all.subList(2, all.size() - 1)).noneMatch(PeerWireTest::ended);
             talks.getOutputStream().write(ByteBuffer.allocate(5).putInt(1).put((byte) 2).array());
             assertThat(next()).containsExactly(2);
         } finally {
