--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -191,8 +191,9 @@
 
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
-        StandIn s = endpoint(r -> { });
-        s.close();
+        try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            learn((InetSocketAddress) gone.getLocalSocketAddress());
+        }
         assertThat(ends(LONG_MS)).isEqualTo(Result.CONNECT_FAILED);
     }
 
