--- a/src/test/native/faults.c
+++ b/src/test/native/faults.c
@@ -5,7 +5,8 @@
  * FAULT_RULES names a file with a rule a line: CALL SKIP COUNT ERROR [PART]. From the moment the file has been written
  * the calls of that name whose address or path contains PART are counted; SKIP of them go through, the COUNT behind
  * them fail with the errno ERROR. An ERROR below 0 delays the call by so many milliseconds instead; 0 lets a read or
- * write of a socket move one byte, and one of a file all but one byte. WALL_STEP names a file with the seconds by which the wall clock is off.
+ * write of a socket move one byte, and one of a file all but one byte. "listener_close" is the close of a socket that
+ * listens, and can only be delayed. WALL_STEP names a file with the seconds by which the wall clock is off.
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
@@ -149,6 +150,13 @@
     FAIL("connect", address(a, to, sizeof to));
     return real(fd, a, n);
 }
+int close(int fd) {
+    REAL(close);
+    int listens = 0;
+    socklen_t length = sizeof listens;
+    if (in_java() && !getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length) && listens) fault("listener_close", "");
+    return real(fd);
+}
 int epoll_wait(int fd, struct epoll_event *events, int most, int ms) {
     REAL(epoll_wait);
     FAIL("epoll_wait", "");
