New connections are refused before the listener closes, and none is reset by the close

Cause: the system completes connections between our last accept and the listener's close, and resets them with the close (Wire.unlisten). Change: 50 ms before the close the listening socket is bound to an interface that does not exist (SO_BINDTOIFINDEX, ConnectionRefusal): the system refuses new connections, and what it has completed, or half completed, is still accepted. Java has no public way to the option: by reflection, with Add-Opens in the manifest; where that fails, one line of the log and the way of before. JNA was not tried.

--- a/src/main/java/firstair/kit/run/Node.java
+++ b/src/main/java/firstair/kit/run/Node.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.io.Writer;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URISyntaxException;
@@ -14,6 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -32,6 +34,8 @@
 /** The program as a process of its own, and a client of it. */
 public final class Node {
     private static final int WAIT_S = 20;
+    /** What the manifest of the jar says, which counts only for {@code java -jar}. */
+    private static final String OPENED_PACKAGE = "--add-opens=java.base/sun.nio.ch=ALL-UNNAMED";
 
     private final Path folder;
     private String discovery;
@@ -55,6 +59,7 @@
     private final Map<String, String> environment = new HashMap<>();
     private Path settings;
     private volatile boolean unread;
+    private Path logCopy;
     private Process process;
     private Thread reader;
     private InetSocketAddress address;
@@ -86,6 +91,14 @@
         unread = true;
     }
 
+    /** From its next start on it logs each request, call and notice; all lines go to a file as well. */
+    public void trace(Path copy) throws IOException {
+        Path levels = folder.resolve("logging.properties");
+        Files.writeString(levels, "firstair.level = FINE\n");
+        environment("JAVA_TOOL_OPTIONS", "-Djava.util.logging.config.file=" + levels.toAbsolutePath());
+        logCopy = copy;
+    }
+
     /** A file with settings of ours. */
     public void settings(Path file) {
         settings = file;
@@ -261,8 +274,12 @@
                 signalled
                         ? List.of("java", "-XX:+UseSerialGC", "-Xmx64m", "-XX:TieredStopAtLevel=1")
                         : List.of("sh", Path.of("deploy", "run.sh").toString()));
-        command.addAll(
-                List.of("-cp", String.join(System.getProperty("path.separator"), classPath), "firstair.Main", "serve"));
+        command.addAll(List.of(
+                OPENED_PACKAGE,
+                "-cp",
+                String.join(System.getProperty("path.separator"), classPath),
+                "firstair.Main",
+                "serve"));
         ProcessBuilder b = new ProcessBuilder(command);
         b.environment().putAll(environment);
         b.environment()
@@ -287,8 +304,13 @@
     }
 
     private void read(InputStream from) {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(from, StandardCharsets.UTF_8))) {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(from, StandardCharsets.UTF_8));
+                Writer copy = logCopy == null
+                        ? Writer.nullWriter()
+                        : Files.newBufferedWriter(logCopy, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
             for (String l = in.readLine(); l != null; l = in.readLine()) {
+                copy.write(l + "\n");
+                copy.flush();
                 synchronized (log) {
                     while (unread) {
                         log.wait();
--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -24,6 +24,7 @@
  * @param heldUpMs        so far behind its time, a round was held up and decides by what is over
  * @param catchUpMs       what such a round waits, for what has come meanwhile to be read
  * @param listenMs        how long a start tries to listen where the system has no socket for it
+ * @param handshakeMs     between refusing new connections and the listener's close, for those that are half open
  * @param emptyMs         how long a destination without endpoints is still taken for one
  * @param answerMs        until an answer that has begun must be whole
  * @param restMs          how long a connection that carried an answer is left alone before the next call
@@ -63,6 +64,7 @@
         double heldUpMs,
         double catchUpMs,
         double listenMs,
+        double handshakeMs,
         double emptyMs,
         double answerMs,
         double restMs,
@@ -150,6 +152,7 @@
     private static final double HELD_UP_MS = 40; // many times what a round takes
     private static final double CATCH_UP_MS = 10; // another thread reads hundreds of sockets in it
     private static final double LISTEN_MS = 5000; // a relay has to be ready within 10 s
+    private static final double HANDSHAKE_MS = 50; // several times the way to a client and back
     private static final double EMPTY_MS = 30_000; // longer than any message lives
     private static final double ANSWER_MS = 200; // answers are a packet or two, written at once
     private static final double REST_MS = 20; // what belongs to an answer comes with it or right behind
@@ -199,6 +202,7 @@
                 HELD_UP_MS,
                 CATCH_UP_MS,
                 LISTEN_MS,
+                HANDSHAKE_MS,
                 EMPTY_MS,
                 ANSWER_MS,
                 REST_MS,
@@ -263,6 +267,7 @@
                 heldUpMs,
                 catchUpMs,
                 listenMs,
+                handshakeMs,
                 own.number("endpoints.empty", emptyMs),
                 own.number("endpoints.answer", answerMs),
                 own.number("endpoints.rest", restMs),
@@ -315,6 +320,7 @@
                 heldUpMs,
                 catchUpMs,
                 listenMs,
+                handshakeMs,
                 emptyMs,
                 answerMs,
                 restMs,
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -317,7 +317,8 @@
 
     /**
      * Takes no further connection, and only then ends those that clients have: they come again at once, and whom the
-     * system takes by then for a listener that nobody serves any more is reset without an answer.
+     * system takes by then for a listener that nobody serves any more is reset without an answer. New connections are
+     * refused a little before the listener closes, so that none is completed between our last accept and the close.
      */
     private void stopListening() {
         ready = false;
@@ -330,7 +331,11 @@
         if (listener == null) {
             drainClients();
         } else {
-            wire.unlisten(listener, () -> loop.post(() -> loop.after(limits.restMs(), this::drainClients)));
+            Wire.refuseNew(listener);
+            loop.after(
+                    limits.handshakeMs(),
+                    () -> wire.unlisten(
+                            listener, () -> loop.post(() -> loop.after(limits.restMs(), this::drainClients))));
         }
     }
 
@@ -513,8 +518,18 @@
         fellows.taken(t.destination());
     }
 
+    private void trace(Held h, String what) {
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.fine("message " + h.taken.requestId() + ": " + what + ", " + Math.round(h.deadlineAt - loop.now())
+                    + " ms left");
+        }
+    }
+
     private void ended(Outcome o) {
         Held h = kept.get(o.id());
+        if (h != null) {
+            trace(h, "attempt " + o.attempt() + " at " + o.endpoint() + " ended with " + o.result());
+        }
         if (h != null && o.result().counts()) {
             fellows.ended(h.taken.destination(), o);
         }
@@ -724,6 +739,7 @@
         if (h == null) {
             return;
         }
+        trace(h, "over with " + status);
         if (h.client != null) {
             h.client.answer(status, notice.afterMs());
             h.client = null;
--- a/src/main/java/firstair/relay/net/Wire.java
+++ b/src/main/java/firstair/relay/net/Wire.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.Arrays;
 import java.util.function.Predicate;
@@ -89,9 +90,17 @@
     }
 
     /**
-     * Takes no connection any more. The system resets whatever it has taken by the moment of the close and we have not
-     * accepted. So the selector lets go of the listener first: while it is registered, its close would wait for the
-     * selector's next event. Then all that waits is accepted, and the close follows the last look at once.
+     * Has the system refuse new connections, while those that it has completed are accepted as before. Where it cannot,
+     * connections come until {@link #unlisten}.
+     */
+    public static void refuseNew(Connection<?> listener) {
+        ConnectionRefusal.begin((ServerSocketChannel) ((TCPNIOServerConnection) listener).getChannel());
+    }
+
+    /**
+     * Takes no connection any more. The system resets whatever it has completed by the moment of the close and we have
+     * not accepted: so {@link #refuseNew} comes before, and here the selector lets go of the listener first, since the
+     * close of one that is registered waits for the selector's next event. Then all that waits is accepted.
      *
      * @param then told on the selector's thread; what is handed to it from then on runs behind the end of the listener
      */
@@ -101,12 +110,11 @@
             try {
                 server.getSelectionKey().cancel();
                 server.getSelectorRunner().getSelector().selectNow();
-                for (int looks = 0;
-                        looks <= backlog;
-                        looks++) { // one look may find nothing, and the next one something
+                for (int accepts = 0; accepts <= backlog; accepts++) { // an accept does not tell whether one waited
                     accept(server);
                 }
                 server.getChannel().close();
+                LOG.fine("listener closed");
             } catch (IOException e) {
                 // it is closed next
             }
--- a/src/test/java/firstair/relay/standin/ShortTimes.java
+++ b/src/test/java/firstair/relay/standin/ShortTimes.java
@@ -40,6 +40,7 @@
                 l.heldUpMs(),
                 l.catchUpMs(),
                 l.listenMs(),
+                l.handshakeMs(),
                 l.emptyMs(),
                 l.answerMs(),
                 l.restMs(),
