Debug lines for each client, call, notice and late round; the soak keeps them of broken runs

Change: lines at level FINE (java.util.logging's own configuration file turns them on, no setting of ours); Node can be traced; a soak that breaks, or leaves a request without an answer in 400 ms, names its trace and the clients' ports, others leave no folder behind.

--- a/src/main/java/firstair/kit/soak/KeepAliveClient.java
+++ b/src/main/java/firstair/kit/soak/KeepAliveClient.java
@@ -3,6 +3,7 @@
 import firstair.kit.run.Node;
 import firstair.kit.soak.Observations.Effect;
 import firstair.kit.soak.Observations.HandIn;
+import firstair.kit.soak.Observations.Unanswered;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -108,7 +109,7 @@
         try {
             status = status(socket.getInputStream());
         } catch (SocketTimeoutException e) {
-            seen.unanswered.incrementAndGet();
+            seen.unanswered.add(new Unanswered(id, socket.getLocalPort(), sent));
             close(); // it waits no longer, and may hand it in elsewhere: what becomes of it counts for nothing
             return false;
         } catch (IOException e) {
--- a/src/main/java/firstair/kit/soak/Observations.java
+++ b/src/main/java/firstair/kit/soak/Observations.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * What the peers of a relay saw, each with its time in milliseconds on one monotonic clock. The relay's own log is no
@@ -40,6 +39,9 @@
      */
     record HandIn(String id, Effect effect, double sentMs, double answeredMs, int status, double deadlineMs) {}
 
+    /** A client stopped waiting for its answer. */
+    record Unanswered(String id, int clientPort, double sentMs) {}
+
     /** A call was read whole by an endpoint; what it was told, if anything, and when the call was over there. */
     static final class Call {
         final String id;
@@ -95,7 +97,7 @@
     final ConcurrentLinkedQueue<Drained> drained = new ConcurrentLinkedQueue<>();
     final ConcurrentLinkedQueue<Restart> restarts = new ConcurrentLinkedQueue<>();
     final ConcurrentLinkedQueue<Fault> faults = new ConcurrentLinkedQueue<>();
-    final AtomicInteger unanswered = new AtomicInteger(); // requests that had no answer when their clients left
+    final ConcurrentLinkedQueue<Unanswered> unanswered = new ConcurrentLinkedQueue<>();
 
     private final long origin = System.nanoTime();
 
--- a/src/main/java/firstair/kit/soak/RestartSoak.java
+++ b/src/main/java/firstair/kit/soak/RestartSoak.java
@@ -13,7 +13,9 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.LocalTime;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
@@ -21,6 +23,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * One relay under clients that use their connections to the last, while it is told to end, killed, started again and
@@ -98,6 +101,8 @@
         if (crowded) {
             node.sockets(CROWD_SOCKETS);
         }
+        Path trace = folder.resolve("trace.log");
+        node.trace(trace);
         node.start();
         List<KeepAliveClient> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
@@ -124,16 +129,22 @@
         List<String> verdicts = new Judge(seen, WINDOW_MS, GRACE_MS).verdicts();
         if (!verdicts.isEmpty()) {
             seen.inOrder().forEach(r -> System.out.println("  " + r));
-            node.lines().stream().filter(l -> !l.contains(" INFO ")).forEach(l -> System.out.println("  log: " + l));
         }
+        seen.unanswered.forEach(u -> System.out.println("  " + u));
         close(clock);
+        if (verdicts.isEmpty() && seen.unanswered.isEmpty()) {
+            delete(folder);
+        } else {
+            LocalTime origin = LocalTime.now().minusNanos((long) (seen.now() * 1e6));
+            System.out.println("  seed " + seed + ": 0 ms is " + origin + " in " + trace);
+        }
         int taken = (int) seen.handIns.stream().filter(h -> h.status() == 202).count();
         return new Result(
                 seed,
                 verdicts,
                 seen.handIns.size(),
                 taken,
-                seen.unanswered.get(),
+                seen.unanswered.size(),
                 seen.calls.size(),
                 seen.notices.size(),
                 seen.restarts.size());
@@ -151,6 +162,14 @@
         }
     }
 
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+
     private void close(ScheduledExecutorService clock) throws Exception {
         node.kill();
         clock.shutdownNow();
--- a/src/main/java/firstair/relay/Loop.java
+++ b/src/main/java/firstair/relay/Loop.java
@@ -14,8 +14,8 @@
  * came, then the timers that are due, and then the round ends once for all of them.
  */
 public final class Loop {
-    private static final RateLimitedLogger FAULTS =
-            new RateLimitedLogger(Logger.getLogger(Loop.class.getName()), Level.SEVERE);
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private static final RateLimitedLogger FAULTS = new RateLimitedLogger(LOG, Level.SEVERE);
     private static final double NS_PER_MS = 1e6;
 
     /** Something to be run at a time; it can be called off. */
@@ -116,6 +116,7 @@
                 TimeUnit.NANOSECONDS.sleep((long) (rest * NS_PER_MS));
             }
             last = now();
+            traceDelay("the first timer of a round", timers.isEmpty() ? last : timers.peek().at);
             if (first != null) {
                 batch.add(first);
             }
@@ -129,6 +130,13 @@
                 guarded(task);
             }
             guarded(round);
+            traceDelay("the end of a round", last);
+        }
+    }
+
+    private void traceDelay(String of, double since) {
+        if (LOG.isLoggable(Level.FINE) && heldUpSince(since)) {
+            LOG.fine(of + " came " + Math.round(now() - since) + " ms late");
         }
     }
 
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -37,6 +37,8 @@
     private final RequestHandler requests;
     private final BooleanSupplier crowded;
     private final HttpParser parser;
+    private final String peer;
+    private boolean heard; // something of it has been read
     private Phase phase = Phase.OPEN;
     private boolean answering; // a request awaits its answer
     private boolean inputEnded; // the client sends nothing more, and may still listen
@@ -59,6 +61,8 @@
         this.crowded = crowded;
         this.quietSince = requests.now();
         this.begunAt = quietSince;
+        this.peer = String.valueOf(connection.getPeerAddress());
+        trace("accepted");
         this.parser = new HttpParser(HttpParser.Kind.REQUEST, limits.maxHead(), limits.maxBody(), new Collector() {
             @Override
             public void head(Head h) {
@@ -92,7 +96,17 @@
         return true;
     }
 
+    private void trace(String what) {
+        if (LOG.isLoggable(Level.FINE)) {
+            LOG.fine("client " + peer + ": " + what);
+        }
+    }
+
     synchronized void received(byte[] bytes) {
+        if (!heard) {
+            heard = true;
+            trace("first bytes");
+        }
         try {
             if (!answering) {
                 parse(bytes);
@@ -136,6 +150,7 @@
     private void request(Head head, byte[] body) {
         answering = true;
         last |= !head.keepAlive();
+        trace("request " + head.path() + " " + head.header(SubmissionFields.REQUEST_ID));
         switch (head.path()) {
             case "/-/ready" -> answer(!head.method().equals("GET") ? 405 : requests.ready() ? 200 : 503, 0);
             case "/api" -> {
@@ -216,6 +231,7 @@
             w.header("Content-Type", "application/json");
         }
         byte[] bytes = w.body(json);
+        trace(status + (close ? ", the last answer" : ""));
         answering = false;
         served = true;
         quietSince = requests.now();
@@ -440,11 +456,13 @@
 
     /** Ends it at once: who does not read its answers must not keep its place until they are written. */
     synchronized void close() {
+        trace("closed by us");
         phase = Phase.CLOSED;
         connection.terminateSilently();
     }
 
     synchronized void closed() {
+        trace("closed");
         phase = Phase.CLOSED;
     }
 }
--- a/src/main/java/firstair/relay/clients/SubmissionFields.java
+++ b/src/main/java/firstair/relay/clients/SubmissionFields.java
@@ -27,13 +27,15 @@
         String tenant,
         String booking) {
 
+    static final String REQUEST_ID = "request-id";
+
     private static final int MAX_WORD_CHARS = 128;
     private static final int MAX_DIGITS = 15;
     private static final long NO_NUMBER = -1;
 
     /** Reads the headers; null if one that is needed is missing or cannot be used. */
     static SubmissionFields read(Head head, RequestHandler requests) {
-        String id = head.header("request-id");
+        String id = head.header(REQUEST_ID);
         Integer messageClass = requests.classes().get(String.valueOf(head.header("request-class")));
         long timeMs = wholeNumber(head.header("request-timeout-ms"));
         String addressing = head.header("x-addressing");
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -328,6 +328,13 @@
             });
         }
 
+        private void trace(String what) {
+            if (LOG.isLoggable(Level.FINE)) {
+                LOG.fine("call to " + endpoint + " with "
+                        + items.stream().map(Item::requestId).toList() + ": " + what);
+            }
+        }
+
         void ask(Decider decider) {
             double least = timeoutMs;
             for (Item i : List.copyOf(items)) {
@@ -367,6 +374,7 @@
             double now = loop.now();
             double patience = patience(now);
             written = link.send(request(patience, HostPort.of(to)), this);
+            trace((written ? "written, " : "not written, ") + Math.round(patience) + " ms of patience");
             if (written) {
                 limit(now, patience);
                 return;
@@ -427,6 +435,7 @@
             double ms = waitMs;
             if (ms > toldMs) {
                 toldMs = ms;
+                trace("told to wait for " + ms + " ms, read " + Math.round(loop.now() - waitAt) + " ms ago");
                 Item of = items.isEmpty() ? lead : items.get(0);
                 told.waits(waitAt, endpoint, of.id(), of.attempt(), ms);
             }
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -43,6 +43,7 @@
     private final RateLimitedLogger answers = new RateLimitedLogger(LOG, Level.WARNING);
     private final RateLimitedLogger faults = new RateLimitedLogger(LOG, Level.SEVERE);
     private boolean told; // that notices are overdue
+    private long posts; // so far
 
     /**
      * Nothing is owed at first.
@@ -167,6 +168,7 @@
         private Loop.Timer slow;
         private Loop.Timer late;
         private volatile int status;
+        private final long number = posts++;
 
         Post(NoticePlan.Post planned) {
             this.planned = planned;
@@ -181,6 +183,8 @@
             byte[] request = HttpWriter.request("POST", "/status", HostPort.of(to))
                     .header("Content-Type", "application/x-ndjson")
                     .body(planned.body());
+            trace((planned.fresh() ? "post over a new connection, " : "post, ") + planned.patienceMs()
+                    + " ms of patience: " + new String(planned.body(), StandardCharsets.UTF_8).replace('\n', ' '));
             try {
                 Link kept = planned.fresh() ? null : idle;
                 if (kept != null) {
@@ -197,12 +201,19 @@
             }
         }
 
+        private void trace(String what) {
+            if (LOG.isLoggable(Level.FINE)) {
+                LOG.fine("notices " + number + " to " + HostPort.of(to) + ": " + what);
+            }
+        }
+
         private void end(int how, boolean reusable) {
             if (out.remove(planned) == null) {
                 return; // over before: given up for a further one, or answered after its time
             }
             slow.cancel();
             late.cancel();
+            trace("post over with " + how);
             if (reusable && how == CONFIRMED && to.equals(address)) {
                 keep(link);
             } else if (link != null) {
@@ -233,6 +244,7 @@
         @Override
         public void broken(boolean maybeArrived) {
             loop.post(() -> {
+                trace("connection broke");
                 end(NoticePlan.NONE, false);
                 unreachable.run();
             });
