A call is not written once a wait that may bind it has been read

Cause: Relay.write leaves the calls of a held-up round to the next one once; the next one, held up as well, wrote them though the selector's thread had read a wait meanwhile, of which the decisions were to hear in the round behind it. Change: a wait that has been read and not yet told is known to Endpoints from its header line on (unheard); a call to the same destination is left to the next round, where mayGo ends it. No pause and no bound is new.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -551,6 +551,14 @@
             control.waits(at, endpoint, id, attempt, waitMs);
         }
 
+        @Override
+        public boolean shareWaits(String endpoint, String other) {
+            Place place = places.get(endpoint);
+            Place otherPlace = places.get(other);
+            return endpoint.equals(other)
+                    || place != null && otherPlace != null && place.destination() == otherPlace.destination();
+        }
+
         @Override
         public void unwritten(long id, int attempt) {
             kept.unwritten(id, attempt);
@@ -657,7 +665,8 @@
     /**
      * Writes the calls that this round has decided, unless they are old by now: where the store or the system has held
      * the round up, peers may have told a wait or a drain meanwhile. That is read first, and the calls are asked about
-     * in the next round, once.
+     * in the next round. Where every round is held up they go all the same, but for those that a wait may bind which
+     * has been read by then.
      */
     private void write(boolean written, double begunAt) {
         postponed = !postponed && loop.heldUpSince(begunAt);
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import java.util.function.LongPredicate;
 import java.util.logging.Level;
@@ -45,6 +46,7 @@
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private final List<Call> calls = new ArrayList<>(); // out
     private final List<Call> up = new ArrayList<>(); // of them, such that have a connection and are not written
+    private final Set<Call> unheard = ConcurrentHashMap.newKeySet(); // have read a wait that has not been told on
 
     private record Idle(Link link, double since) {}
 
@@ -56,6 +58,11 @@
         /** A wait was read at a moment, of an answer that may never be whole, to a call with such an attempt. */
         default void waits(double at, String endpoint, long id, int attempt, double waitMs) {}
 
+        /** Whether a wait that one endpoint tells may bind calls to the other. */
+        default boolean shareWaits(String endpoint, String other) {
+            return endpoint.equals(other);
+        }
+
         /** A message that was {@link #ready} has not been written: its connection was dead. It may be ready again. */
         default void unwritten(long id, int attempt) {}
     }
@@ -127,7 +134,10 @@
         up.forEach(c -> c.items.forEach(i -> each.accept(c.endpoint, i)));
     }
 
-    /** Writes what is {@link #ready}, but for messages that could not be noted: those are not sent. */
+    /**
+     * Writes what is {@link #ready}, but for messages that could not be noted: those are not sent. A call that a wait
+     * may bind which has been read since its round began is left to the next round, whose {@link #ask} comes first.
+     */
     public void write(LongPredicate noted) {
         List<Call> all = List.copyOf(up);
         up.clear();
@@ -369,6 +379,11 @@
                 return;
             }
             noted = true;
+            if (unheard.stream().anyMatch(c -> told.shareWaits(c.endpoint, endpoint))) {
+                trace("left to the next round, a wait has been read");
+                up.add(this);
+                return;
+            }
             bundle = items.size() > 1;
             ids = items.stream().map(Item::requestId).collect(Collectors.toSet());
             double now = loop.now();
@@ -427,11 +442,13 @@
             if (ms > waitMs) {
                 waitAt = loop.now();
                 waitMs = ms;
+                unheard.add(this);
                 loop.post(this::tellWait);
             }
         }
 
         private void tellWait() {
+            unheard.remove(this); // before it is looked at: one that is read from now on is told by itself
             double ms = waitMs;
             if (ms > toldMs) {
                 toldMs = ms;
