A notice goes out as soon as it is stored, and over a second connection at once behind a 400

Cause: notices were the last thing of a round, behind the answers to clients and the calls; a notice that was alone in a post which was answered 400 paused before a second connection was tried. Change: Relay.round posts notices right behind the store's write; NoticePlan tries a second connection at once and pauses behind that. Measured: HeldUpTest.aNoticeDoesNotWait... and NoticePlanTest.aNoticeThatWasAnswered400Once... failed before, pass now; so do the tests of notices and faults.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -645,9 +645,9 @@
             }
         });
         boolean written = kept.flush() || unwritten();
+        notices.flush(); // stored by now; they have the least time of all that a round does
         kept.confirm();
         write(written, begunAt);
-        notices.flush();
         if (opening != null && notices.owed() == 0 && !unlisted) {
             opening.cancel();
             open();
--- a/src/main/java/firstair/relay/platform/NoticePlan.java
+++ b/src/main/java/firstair/relay/platform/NoticePlan.java
@@ -37,6 +37,7 @@
         int group = Integer.MAX_VALUE; // most notices in a post with it: a post with it could not be read
         double notBefore = Double.NEGATIVE_INFINITY;
         double pause;
+        boolean doubted; // it was alone in a post that could not be read
         boolean late; // counted as overdue
 
         Notice(long id, byte[] text, double dueAt) {
@@ -243,12 +244,17 @@
         return failing && urgent(now);
     }
 
-    /** One notice among them cannot be read, or the connection is spoilt: halves are tried, so it holds up no other. */
+    /**
+     * One notice among them cannot be read, or the connection is spoilt. Halves are tried, so that it holds up no other;
+     * one that is alone goes over another connection at once, and pauses if that does not help.
+     */
     private void unreadable(Post p, double now) {
         int half = Math.max(1, p.notices.size() / 2);
         for (Notice n : p.notices) {
             if (p.notices.size() > 1) {
                 n.group = Math.min(n.group, half);
+            } else if (!n.doubted) {
+                n.doubted = true;
             } else {
                 n.pause = Math.min(limits.pauseMostMs(), n.pause == 0 ? limits.pauseMs() : n.pause * GROWTH);
                 n.notBefore = now + jittered(n.pause);
