Failing test: a stepped wall clock ends bookings

Cause (C9): FleetDriver hands the wall clock's time to the fleet at each timer and round, and the ledger's leader ends by it what is booked. Change: FleetProcessTest steps the clocks of five relays by four hours while a booking is three hours away; Preload is public for it.

--- a/src/test/java/firstair/relay/faults/Preload.java
+++ b/src/test/java/firstair/relay/faults/Preload.java
@@ -13,7 +13,7 @@
  * Failing system calls and a stepped wall clock in a relay's own process, by the library of {@code src/test/native},
  * which is built with gcc when the first test wants it.
  */
-final class Preload {
+public final class Preload {
     // Errors of Linux, by their numbers there.
     static final int EINTR = 4;
     static final int EIO = 5;
@@ -37,7 +37,7 @@
     private final Path step;
 
     /** Loads the library into the node's process from its next start on; {@code folder} takes what controls it. */
-    Preload(Node node, Path folder) throws Exception {
+    public Preload(Node node, Path folder) throws Exception {
         rules = folder.resolve("rules");
         step = folder.resolve("step");
         node.environment("LD_PRELOAD", library().toString());
@@ -81,7 +81,7 @@
     }
 
     /** The wall clock is off by so many seconds from now on. */
-    void step(long seconds) throws IOException {
+    public void step(long seconds) throws IOException {
         replace(step, seconds + "\n");
     }
 
--- a/src/test/java/firstair/relay/fleet/FleetProcessTest.java
+++ b/src/test/java/firstair/relay/fleet/FleetProcessTest.java
@@ -7,6 +7,7 @@
 import firstair.kit.run.Node;
 import firstair.kit.standin.StandIn;
 import firstair.relay.HostPort;
+import firstair.relay.faults.Preload;
 import firstair.relay.standin.Await;
 import firstair.relay.standin.Platform;
 import java.io.IOException;
@@ -337,6 +338,41 @@
         agree("e", "later", request(9, 1));
     }
 
+    /**
+     * Row C9. The wall clock of every machine is stepped by four hours, forward; a booking is three hours away. Its time is
+     * read once, when its relay begins, and runs on with the clock that is never stepped: no hour has passed.
+     */
+    @Test
+    void aSteppedWallClockEndsNoBooking() throws Exception {
+        String list = list(TWO_ZONES);
+        platform = closing(new Platform(list));
+        fleet = closing(
+                new FiveProcesses(folder, platform.hostPort(), list, TWO_ZONES, contracts() + "bookings = true\n"));
+        List<Preload> clocks = new ArrayList<>();
+        for (String relay : FiveProcesses.NAMES) {
+            clocks.add(new Preload(fleet.node(relay), Files.createDirectories(folder.resolve("clock-" + relay))));
+        }
+        fleet.start();
+        agree("d", "x", "{\"kind\":\"set-team\",\"team\":\"billing\",\"quota\":1000000,\"zone\":\"Europe/Berlin\"}");
+        agree("d", "x", "{\"kind\":\"set-destination\",\"destination\":7,\"limit\":100,\"bookable\":0.3}");
+        agree("d", "fees", request(3, 20));
+        Await.until(
+                "the booking is known", () -> booking("e", "GET", "fees", "").contains(" 200 "));
+        String before = state(booking("e", "GET", "fees", ""));
+        for (Preload clock : clocks) {
+            clock.step(4 * 3600);
+        }
+        TimeUnit.SECONDS.sleep(3); // several heartbeats and rounds of the ledger
+        agree("e", "more", request(6, 10)); // who leads has looked at its clock
+        Await.until("it is known", () -> booking("a", "GET", "more", "").contains(" 200 "));
+        assertThat(state(booking("e", "GET", "fees", ""))).isEqualTo(before);
+        assertThat(state(booking("a", "GET", "fees", ""))).isEqualTo(before);
+    }
+
+    private static String state(String answer) {
+        return answer.replaceAll("(?s).*\"state\":\"([^\"]*)\".*", "$1");
+    }
+
     // ---- names ----
 
     @Test
