Bookings go by the time of the start and the monotonic clock; a stepped wall clock moves none

Cause: FleetDriver handed System.currentTimeMillis to the fleet at each timer and round. Change: CalendarClock reads the wall clock once, at the start, and runs on with the monotonic one; a step is a line of the log a minute at most, and holds from the next start on. Left: relays that start behind a step go by it beside those that began before; the fleet takes clocks for no further apart than fleet.skew.

--- a/src/main/java/firstair/relay/fleet/FleetDriver.java
+++ b/src/main/java/firstair/relay/fleet/FleetDriver.java
@@ -23,6 +23,7 @@
 import firstair.relay.Loop;
 import firstair.relay.clients.BookingRequest;
 import firstair.relay.discovery.Zones;
+import firstair.relay.store.BootClock;
 import firstair.relay.store.LedgerFile;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -55,6 +56,7 @@
     private final FleetConfig config;
     private final Loop loop;
     private final Listener listener;
+    private final CalendarClock calendar = new CalendarClock(BootClock.SYSTEM);
     private final Zones zones;
     private final Codec codec = new Codec();
     private final Fleet fleet;
@@ -107,7 +109,7 @@
                 memory,
                 ledger,
                 loop.now(),
-                System.currentTimeMillis(),
+                calendar.nowMs(),
                 this);
         wire = new PeerWire(
                 loop,
@@ -186,7 +188,7 @@
     private void due() {
         timer = null;
         timerAt = Double.POSITIVE_INFINITY;
-        fleet.timer(loop.now(), System.currentTimeMillis());
+        fleet.timer(loop.now(), calendar.nowMs());
     }
 
     @Override
@@ -225,7 +227,7 @@
 
     @Override
     public void refresh() {
-        fleet.refresh(loop.now(), System.currentTimeMillis());
+        fleet.refresh(loop.now(), calendar.nowMs());
     }
 
     @Override
@@ -325,7 +327,7 @@
                 ask.answer(200, 0, shown(ask.booking()));
                 return;
             }
-            List<Operation> operations = Operations.readAll(text(ask), config.calendars(), System.currentTimeMillis());
+            List<Operation> operations = Operations.readAll(text(ask), config.calendars(), calendar.nowMs());
             if (operations.isEmpty()) {
                 throw new Fault.BadRequest("repeat", "no time that could still be asked for");
             }
