A start no longer keeps clients out until its notices are confirmed

Change: it opens after the first round, or once a pushed list is there as before. The key start.open stays for that. RelayProcessTest, RestartTest pass.

--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -40,7 +40,7 @@
  * @param notices         of notices to the platform
  * @param overdueMs       after its time, from which a message that has no end is taken for lost by a fault of ours
  * @param reloadMs        how long a configuration that cannot be used is read again after a SIGHUP
- * @param openMs          how long clients wait at most for the notices that a start has taken up
+ * @param openMs          how long clients wait at most for the list that is pushed to a start
  * @param drainAcceptMs   how long a relay that was told to end still accepts connections
  * @param drainCallsMs    how long it makes calls for what it holds
  * @param drainMs         until it ends at the latest
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -182,10 +182,9 @@
         round();
         loop.after(limits.sweepMs(), this::sweep);
         takenUp = kept.size() + " messages and " + notices.owed() + " notices taken up again";
-        if (notices.owed() == 0 && !unlisted) {
+        if (!unlisted) {
             open();
         } else {
-            // What the last process owes is overdue soon after clients come; beside them its posts took 0.3 s and more.
             opening = loop.after(limits.openMs(), this::open);
         }
     }
@@ -648,7 +647,7 @@
         notices.flush(); // stored by now; they have the least time of all that a round does
         kept.confirm();
         write(written, begunAt);
-        if (opening != null && notices.owed() == 0 && !unlisted) {
+        if (opening != null && !unlisted) {
             opening.cancel();
             open();
         }
--- a/src/main/java/firstair/relay/TunableSettings.java
+++ b/src/main/java/firstair/relay/TunableSettings.java
@@ -160,7 +160,7 @@
                         0,
                         MIN,
                         false,
-                        "clients wait at most for the notices that a start has taken up")
+                        "clients wait at most for the list that is pushed to a start")
                 .item(
                         "reload",
                         Kind.DURATION,
