--- a/src/test/java/firstair/control/ColdFleetTest.java
+++ b/src/test/java/firstair/control/ColdFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The sum of what all relays send to a destination that has come back, against what the settings allow: N calls in
@@ -17,25 +18,44 @@
  * if more than the bound came and over two thirds of it from relays that were told of the outage.
  */
 class ColdFleetTest {
+    private static final double[] LIMITS = {0.8, 4, 15, 60}; // calls a second
     private static final int SEEDS = Integer.getInteger("firstair.seeds", 10);
 
     /** Chance is left: of a thousand plays so many may break it. Before the mends 5, 117, 146 and 320 did. */
     @ParameterizedTest
     @CsvSource({"5,2", "20,10", "30,30", "100,60"})
     void theSumOverTheFleetStaysWithinTheBudget(int relays, int perThousand) {
-        int plays = 0;
+        assertThat(breaks(relays))
+                .as("broken of %d plays, seeds 1 to %d", plays(), SEEDS)
+                .isLessThanOrEqualTo(plays() * perThousand / 1_000);
+    }
+
+    /**
+     * The strict reading of rows R14, R26 and B16: the budget binds on every day, however many relays there are; a return in a
+     * thousand may go over it. It needs slow start to be decided anew, which is an issue of its own.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 20, 30, 100})
+    void theBudgetBindsHoweverManyRelaysThereAre(int relays) {
+        assertThat(breaks(relays))
+                .as("broken of %d plays, seeds 1 to %d", plays(), SEEDS)
+                .isLessThanOrEqualTo(plays() / 1_000);
+    }
+
+    private static int plays() {
+        return LIMITS.length * 2 * Fall.values().length * SEEDS;
+    }
+
+    private static int breaks(int relays) {
         int breaks = 0;
-        for (double limit : new double[] {0.8, 4, 15, 60}) {
+        for (double limit : LIMITS) {
             for (boolean skewed : new boolean[] {false, true}) {
                 for (Fall fall : Fall.values()) {
                     breaks += play(new Shape(relays, limit, 1, skewed, fall, 8_000, 1, 0));
-                    plays += SEEDS;
                 }
             }
         }
-        assertThat(breaks)
-                .as("broken of %d plays, seeds 1 to %d", plays, SEEDS)
-                .isLessThanOrEqualTo(plays * perThousand / 1_000);
+        return breaks;
     }
 
     private static int play(Shape shape) {
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -10,6 +10,7 @@
 import firstair.relay.TunableSettings;
 import firstair.relay.net.Wire;
 import firstair.relay.standin.Await;
+import firstair.relay.standin.Kernel;
 import firstair.relay.standin.LoopThread;
 import firstair.relay.standin.SelectorGate;
 import firstair.relay.standin.ShortTimes;
@@ -306,6 +307,33 @@
         return s;
     }
 
+    /**
+     * What came before the next call was written, and nobody has read. On a connection that has ended that call would be
+     * lost; an answer that nobody asked for would be taken for the call's own, and a refusal have it sent twice.
+     *
+     * <p>A connection's end and its bytes are known once the selector's thread has read them, and a link that is asked
+     * whether it is idle knows no more. Here that thread is held until the call has been written.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"end", "reset", "HTTP/1.1 503 x\\nContent-Length: 0\\n\\n", "HTTP/1.1 5"})
+    void whatHasComeOnAKeptConnectionIsSeenBeforeTheNextCallGoes(String what) throws Exception {
+        Socket first = kept();
+        Kernel.End ours = Kernel.otherEnd(first);
+        selector.hold();
+        act(first, what);
+        Await.until("it is with the system", ours::waits);
+        call(item(2, LONG_MS, 1));
+        settled();
+        selector.release();
+        Socket second = accepted();
+        assertThat(request(second)).contains("Request-Id: r2");
+        write(second, "HTTP/1.1 200 x\\nContent-Length: 0\\n\\n");
+        Outcome o = next();
+        assertThat(o.id()).isEqualTo(2);
+        assertThat(o.result()).isEqualTo(Result.OK);
+        once();
+    }
+
     /** What ends behind the last look at it may have run: the bytes were written to a connection that had gone. */
     @Test
     void aKeptConnectionThatEndsUnderTheNextCallMayHaveRun() throws Exception {
@@ -351,6 +379,35 @@
         once();
     }
 
+    // ---- interim answers ----
+
+    /**
+     * An endpoint may send answers of 1xx before its own, and take its time behind them. An answer that has begun must be
+     * whole within {@code answerMs}; a 1xx used to count as that begin, and the call was given up as one that may have
+     * run, though its delivery was on the way.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 Continue\\n\\n|",
+                "HTTP/1.1 103 Early Hints\\nLink: x\\n\\n|",
+                "HTTP/1.1 10|2 Processing\\n\\n"
+            })
+    void anInterimAnswerIsNoBeginOfOne(String pieces) throws Exception {
+        call(item(1, LONG_MS, 1));
+        Socket s = accepted();
+        request(s);
+        for (String piece : pieces.split("\\|", -1)) {
+            write(s, piece);
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        double interimAt = loop.now();
+        Await.until("longer than an answer takes", () -> loop.now() - interimAt > 2 * limits.answerMs());
+        write(s, "HTTP/1.1 200 x\\nContent-Length: 0\\n\\n");
+        assertThat(next().result()).isEqualTo(Result.OK);
+        once();
+    }
+
     // ---- connections that break off ----
 
     /** At each step on the endpoint's side; what was not written whole cannot have run. */
