A notice waits behind a post that is out no longer than for an answer of its own

Cause: NoticePlan.next let new notices wait until a post that was out had used up its own patience, up to 250 ms. Change: a notice that could go waits for a third of its time at most (60 to 250 ms), then a second post goes; Notices sets its timer earlier where the plan asks for that. Measured: NoticePlanTest.aNoticeWaitsBehindAPost... failed before, passes now; NoticesTest, FaultsTest, RelayProcessTest pass.

--- a/src/main/java/firstair/relay/platform/NoticePlan.java
+++ b/src/main/java/firstair/relay/platform/NoticePlan.java
@@ -39,6 +39,7 @@
         double pause;
         boolean doubted; // it was alone in a post that could not be read
         boolean late; // counted as overdue
+        double waitsUntil = Double.NaN; // for the end of a post that it is not in; known once it could have gone
 
         Notice(long id, byte[] text, double dueAt) {
             this.id = id;
@@ -118,13 +119,18 @@
 
     /**
      * The next post to be made now, or null. While one is out that is neither slow nor full, new notices wait for
-     * its end: they would only share its fate over a second connection.
+     * its end: they would only share its fate over a second connection. None waits longer than for an answer of its own.
      */
     Post next(double now) {
-        if (owed.isEmpty()
-                || quietUntil > now
-                || out.size() >= limits.posts()
-                || out.stream().anyMatch(p -> !p.slow && !p.full)) {
+        for (Notice n : owed.values()) {
+            if (Double.isNaN(n.waitsUntil)) {
+                n.waitsUntil = now + patience(n.dueAt - now);
+            }
+        }
+        if (owed.isEmpty() || quietUntil > now || out.size() >= limits.posts()) {
+            return null;
+        }
+        if (answerIsAwaited() && owed.values().stream().noneMatch(n -> n.carriers == 0 && n.waitsUntil <= now)) {
             return null;
         }
         Post p = new Post();
@@ -156,17 +162,29 @@
             n.tries++;
         }
         p.startedAt = now;
-        p.patienceMs = Math.max(limits.leastMs(), Math.min(limits.mostMs(), (dueAt - now) / PARTS));
+        p.patienceMs = patience(dueAt - now);
         out.add(p);
         return p;
     }
 
+    /** For how long an answer is waited for, with so much time left, before what it is to confirm goes once more. */
+    private double patience(double leftMs) {
+        return Math.max(limits.leastMs(), Math.min(limits.mostMs(), leftMs / PARTS));
+    }
+
+    /** Whether a post is out that may soon be answered, and was not full. */
+    private boolean answerIsAwaited() {
+        return out.stream().anyMatch(p -> !p.slow && !p.full);
+    }
+
     /** When {@link #next} may have something to say though nothing happens until then; infinite if never. */
     double wakeAt() {
         double at = Double.POSITIVE_INFINITY;
+        boolean awaited = answerIsAwaited();
         for (Notice n : owed.values()) {
             if (n.carriers == 0) {
-                at = Math.min(at, Math.max(quietUntil, n.notBefore));
+                double waits = awaited && !Double.isNaN(n.waitsUntil) ? n.waitsUntil : Double.NEGATIVE_INFINITY;
+                at = Math.min(at, Math.max(waits, Math.max(quietUntil, n.notBefore)));
             }
         }
         return at;
--- a/src/main/java/firstair/relay/platform/Notices.java
+++ b/src/main/java/firstair/relay/platform/Notices.java
@@ -39,6 +39,7 @@
     private InetSocketAddress address;
     private Link idle;
     private Loop.Timer again;
+    private double againAt = Double.POSITIVE_INFINITY; // when that is due
     private final RateLimitedLogger delays = new RateLimitedLogger(LOG, Level.WARNING);
     private final RateLimitedLogger answers = new RateLimitedLogger(LOG, Level.WARNING);
     private final RateLimitedLogger faults = new RateLimitedLogger(LOG, Level.SEVERE);
@@ -126,14 +127,17 @@
             out.put(next, p);
             p.start();
         }
-        if (again == null && plan.owed() > 0) {
-            double at = plan.wakeAt();
-            if (at > now && at < Double.POSITIVE_INFINITY) {
-                again = loop.after(at - now, () -> {
-                    again = null;
-                    flush();
-                });
+        double at = plan.owed() > 0 ? plan.wakeAt() : Double.POSITIVE_INFINITY;
+        if (at > now && at < againAt) {
+            if (again != null) {
+                again.cancel();
             }
+            againAt = at;
+            again = loop.after(at - now, () -> {
+                again = null;
+                againAt = Double.POSITIVE_INFINITY;
+                flush();
+            });
         }
     }
 
