A kept connection is looked at before the next call goes; a 1xx is no begin of an answer

Symptom: an answer that nobody asked for, unread on a kept connection, was taken for the next call's; a call on one that had ended was lost; a call whose endpoint sent a 1xx first was given up 0.2 s later as one that may have run. Cause: HttpLink.send asked for the phase alone, which knows of bytes and ends once they are read; received told any bytes as the begin.

--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -211,6 +211,7 @@
         private final Item lead;
         private final double startedAt = loop.now();
         private final List<Loop.Timer> timers = new ArrayList<>();
+        private Loop.Timer answerTimer; // until an answer that has begun must be whole
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Set<String> ids = Set.of(); // all that it was written with
         private boolean bundle; // it was written with several
@@ -425,7 +426,17 @@
         public void begun() {
             loop.post(() -> {
                 if (!over) {
-                    timers.add(loop.after(limits.answerMs(), () -> leave(Result.RESET)));
+                    answerTimer = loop.after(limits.answerMs(), () -> leave(Result.RESET));
+                    timers.add(answerTimer);
+                }
+            });
+        }
+
+        @Override
+        public void interim() {
+            loop.post(() -> {
+                if (answerTimer != null) {
+                    answerTimer.cancel();
                 }
             });
         }
--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -79,6 +79,11 @@
         return state == State.START && lineLength == 0 && headBytes == 0;
     }
 
+    /** Whether a part of a message has come, interim answers that are over aside. */
+    public boolean begun() {
+        return state != State.START || lineLength > 0;
+    }
+
     /** Takes bytes up to the end of a message and returns how many those are. */
     public int feed(byte[] bytes, int offset, int length) throws HttpException {
         int at = offset;
--- a/src/main/java/firstair/relay/net/HttpLink.java
+++ b/src/main/java/firstair/relay/net/HttpLink.java
@@ -113,6 +113,13 @@
         if (phase != Phase.UP && !idle()) {
             return false;
         }
+        if (phase == Phase.IDLE && !Wire.isQuiet(connection)) {
+            // It has ended or is out of step, and the selector has not come to it: a request would be lost on it, or
+            // get
+            // the answer that nobody asked for.
+            close();
+            return false;
+        }
         exchange = next;
         begun = false;
         write(request);
@@ -186,9 +193,8 @@
             int used = parser.feed(bytes, 0, bytes.length);
             if (answered) {
                 answered(used == bytes.length && head.keepAlive(), used == bytes.length);
-            } else if (!begun) {
-                begun = true;
-                exchange.begun();
+            } else {
+                tellBegin();
             }
         } catch (HttpException e) {
             fail(true);
@@ -198,6 +204,18 @@
         }
     }
 
+    /** An answer has begun once a part of it has come; interim ones, which are passed over, are no part of it. */
+    private void tellBegin() {
+        boolean begins = phase == Phase.UP || parser.begun();
+        if (begins && !begun) {
+            begun = true;
+            exchange.begun();
+        } else if (!begins && begun) {
+            begun = false; // what had come was a part of an interim answer
+            exchange.interim();
+        }
+    }
+
     private void answered(boolean keep, boolean alone) {
         Exchange over = exchange;
         exchange = null;
--- a/src/main/java/firstair/relay/net/Link.java
+++ b/src/main/java/firstair/relay/net/Link.java
@@ -21,6 +21,9 @@
         /** Something of an answer has come, and not yet all of it. */
         default void begun() {}
 
+        /** What {@link #begun} told of was an interim answer, which is over; the answer is yet to begin. */
+        default void interim() {}
+
         /** The answer's first line says so, whatever follows it. */
         default void first(int status) {}
 
--- a/src/main/java/firstair/relay/net/Wire.java
+++ b/src/main/java/firstair/relay/net/Wire.java
@@ -192,6 +192,15 @@
                         null);
     }
 
+    /** Whether nothing has come that nobody has read, neither a byte nor an end. If a byte has, it is lost. */
+    static boolean isQuiet(Connection<?> connection) {
+        try {
+            return ((SocketChannel) ((NIOConnection) connection).getChannel()).read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            return false; // it has broken
+        }
+    }
+
     /** What has come and waits to be read, up to a size; empty if nothing has. On the selector's thread only. */
     public static byte[] unread(Connection<?> connection, int most) {
         ByteBuffer bytes = ByteBuffer.allocate(most);
