Fields of Relay have the names of what they hold

Need: kept, fellows, rereading and overdues were names of the earlier style. Change: held, peers, reloader, overdueLog; no line else. Measured: RelayProcessTest, FaultsTest and HeldUpTest pass.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -66,20 +66,20 @@
     private final Loop loop;
     private final BootClock clock = BootClock.SYSTEM;
     private final Wire wire;
-    private final HeldMessages kept;
+    private final HeldMessages held;
     private final Endpoints endpoints;
     private final Watch watch;
     private final Notices notices;
     private final ClientFilter clients;
     private final Controller control;
-    private final FleetPeers fellows;
+    private final FleetPeers peers;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Place> places = new HashMap<>(); // endpoints by their ids
     private final Map<Integer, Double> destinations = new HashMap<>(); // when each last had an endpoint
     private final List<Send> sends = new ArrayList<>(); // asked for in this round
-    private final RateLimitedLogger overdues = new RateLimitedLogger(LOG, Level.SEVERE);
+    private final RateLimitedLogger overdueLog = new RateLimitedLogger(LOG, Level.SEVERE);
     private final Object reloading = new Object();
-    private final ConfigReloader rereading;
+    private final ConfigReloader reloader;
     private final CountDownLatch ended = new CountDownLatch(1);
     private double returnedAt = Double.NEGATIVE_INFINITY; // when this process took up what the last one left
     private Runnable lookForChanges = () -> {};
@@ -116,13 +116,13 @@
         own = config.own();
         limits = config.limits().tuned(own);
         loop = new Loop(limits.roundMs(), limits.heldUpMs(), limits.catchUpMs());
-        rereading = new ConfigReloader(() -> limits.reloadMs(), limits.sweepMs());
+        reloader = new ConfigReloader(() -> limits.reloadMs(), limits.sweepMs());
         List<MessageClass> all = config.settings().classes();
         for (int i = 0; i < all.size(); i++) {
             classes.put(all.get(i).name(), i);
         }
         Store store = Store.open(config.state(), limits.diskBytes(), clock);
-        kept = new HeldMessages(store);
+        held = new HeldMessages(store);
         wire = new Wire(limits);
         endpoints = new Endpoints(wire, limits, loop, new Calls());
         notices = new Notices(
@@ -141,7 +141,7 @@
         control = decisions.of(config.settings(), config.seed(), this);
         boolean fleet = config.settings().limits().peers()
                 || !own.text("fleet.name", "").isEmpty();
-        fellows = fleet ? FleetDriver.of(config, own, loop, this) : FleetPeers.NONE;
+        peers = fleet ? FleetDriver.of(config, own, loop, this) : FleetPeers.NONE;
     }
 
     /** Serves until {@link #stop}. */
@@ -154,13 +154,13 @@
             over = true;
             clients.refuse(); // what was read behind the last round has been taken by nobody
             watch.leave();
-            fellows.close();
+            peers.close();
             wire.close();
-            kept.close();
+            held.close();
             if (failure != null) {
                 throw failure;
             }
-            LOG.info("ended, " + kept.size() + " messages kept for the next start");
+            LOG.info("ended, " + held.size() + " messages kept for the next start");
         } finally {
             ended.countDown(); // also where the start failed: a signal's thread must not wait for ever
         }
@@ -170,7 +170,7 @@
         if (config.known() != null) {
             news(News.STORED, config.known());
         }
-        fellows.start();
+        peers.start();
         if (!config.settings().askForList()) {
             // Nobody asks for a list that is pushed, and here it comes by a watch alone. What it holds counts from our
             // first moment on: before it has come we call nobody, unless it takes too long.
@@ -181,7 +181,7 @@
         resume();
         round();
         loop.after(limits.sweepMs(), this::sweep);
-        takenUp = kept.size() + " messages and " + notices.owed() + " notices taken up again";
+        takenUp = held.size() + " messages and " + notices.owed() + " notices taken up again";
         if (!unlisted) {
             open();
         } else {
@@ -231,8 +231,8 @@
      */
     public void reload(Supplier<Config> read, Supplier<Values> ours) {
         synchronized (reloading) { // the last of several signals must win
-            rereading.until(read, next -> loop.post(() -> moved(next)), "configuration");
-            rereading.until(
+            reloader.until(read, next -> loop.post(() -> moved(next)), "configuration");
+            reloader.until(
                     ours, next -> loop.post(() -> tuned(next)), "settings"); // behind it: discovery has moved by now
         }
     }
@@ -268,7 +268,7 @@
         RateLimitedLogger unknown = new RateLimitedLogger(LOG, Level.WARNING); // a line for all of them
         returnedAt = now;
         long bootNow = clock.nowMs();
-        for (Store.Open o : kept.left()) {
+        for (Store.Open o : held.left()) {
             StoredMessage t = o.taken();
             if (o.owed() != null) {
                 notices.add(
@@ -276,7 +276,7 @@
                 continue;
             }
             Integer type = classes.get(t.className());
-            Held h = kept.resume(t, now + (t.deadlineAt() - bootNow));
+            Held h = held.resume(t, now + (t.deadlineAt() - bootNow));
             if (type == null) {
                 unknown.log("class " + t.className() + " is no longer known, its messages are given up");
                 giveUp(t.id());
@@ -296,14 +296,14 @@
     /** What binds a held message beyond its class. */
     private void bind(StoredMessage t) {
         if (t.tenant() != null || t.booking() != null) {
-            FleetPeers.Admission a = fellows.terms(t.tenant(), t.className(), t.destination(), t.booking());
+            FleetPeers.Admission a = peers.terms(t.tenant(), t.className(), t.destination(), t.booking());
             control.terms(loop.now(), t.id(), a.zones(), a.lane());
         }
     }
 
     private void drain() {
-        LOG.info("draining, " + kept.size() + " messages held");
-        fellows.leave();
+        LOG.info("draining, " + held.size() + " messages held");
+        peers.leave();
         loop.after(limits.drainAcceptMs(), this::stopListening);
         // What is held would wait for the next process, seconds from now: it is sent for as long as it can be answered.
         loop.after(limits.drainCallsMs(), () -> resting = true);
@@ -396,11 +396,11 @@
             return; // the next start's; or what came back with this one is looked at in its first rounds
         }
         List<Held> overdue =
-                kept.all().stream().filter(h -> h.deadlineAt < before).toList();
+                held.all().stream().filter(h -> h.deadlineAt < before).toList();
         if (overdue.isEmpty()) {
             return;
         }
-        overdues.log(overdue.size() + " messages without an end " + Math.round(limits.overdueMs())
+        overdueLog.log(overdue.size() + " messages without an end " + Math.round(limits.overdueMs())
                 + " ms after their time, the first is " + overdue.get(0).taken.requestId() + "; given up");
         for (Held h : overdue) {
             control.withdrawn(loop.now(), h.taken.id());
@@ -448,9 +448,9 @@
 
     /** Nothing has been sent for it yet: its client is refused, and nobody keeps a part of it. */
     private void untaken(Submission h) {
-        Held known = kept.of(h.requestId());
+        Held known = held.of(h.requestId());
         if (known != null && known.client == h) {
-            kept.untake(known.taken.id());
+            held.untake(known.taken.id());
             control.withdrawn(loop.now(), known.taken.id());
         }
         h.answer(REFUSED, 0);
@@ -461,7 +461,7 @@
             h.answer(REFUSED, 0); // its client may hand it in elsewhere; one that has only ended its sending hears it
             return;
         }
-        Held known = kept.of(h.requestId());
+        Held known = held.of(h.requestId());
         if (known != null) {
             if (known.client == null) {
                 h.answer(ACCEPTED, 0); // the client did not hear it
@@ -475,19 +475,19 @@
             h.answer(watch.current() ? UNKNOWN : REFUSED, 0);
             return;
         }
-        if (!kept.fits(h.body().length)) {
+        if (!held.fits(h.body().length)) {
             h.answer(REFUSED, 0);
             return;
         }
         double now = loop.now();
         MessageClass c = config.settings().classes().get(h.messageClass());
-        FleetPeers.Admission may = fellows.admit(h.tenant(), c.name(), h.destination(), h.booking());
+        FleetPeers.Admission may = peers.admit(h.tenant(), c.name(), h.destination(), h.booking());
         if (may.status() != 0) {
             h.answer(may.status(), may.afterMs(), may.reason());
             return;
         }
         StoredMessage t = new StoredMessage(
-                kept.nextId(),
+                held.nextId(),
                 h.requestId(),
                 c.name(),
                 h.destination(),
@@ -496,9 +496,9 @@
                 h.again(),
                 h.fromDead(),
                 h.body(),
-                fellows.talk() ? h.tenant() : null,
-                fellows.talk() ? h.booking() : null);
-        kept.take(t, h);
+                peers.talk() ? h.tenant() : null,
+                peers.talk() ? h.booking() : null);
+        held.take(t, h);
         control.taken(
                 now,
                 new Controller.Message(
@@ -514,7 +514,7 @@
         if (may.binds()) {
             control.terms(now, t.id(), may.zones(), may.lane());
         }
-        fellows.taken(t.destination());
+        peers.taken(t.destination());
     }
 
     private void trace(Held h, String what) {
@@ -525,15 +525,15 @@
     }
 
     private void ended(Outcome o) {
-        Held h = kept.get(o.id());
+        Held h = held.get(o.id());
         if (h != null) {
             trace(h, "attempt " + o.attempt() + " at " + o.endpoint() + " ended with " + o.result());
         }
         if (h != null && o.result().counts()) {
-            fellows.ended(h.taken.destination(), o);
+            peers.ended(h.taken.destination(), o);
         }
         if (o.result().counts()) {
-            kept.ended(o, clock.nowMs());
+            held.ended(o, clock.nowMs());
         }
         control.ended(loop.now(), o);
     }
@@ -560,7 +560,7 @@
 
         @Override
         public void unwritten(long id, int attempt) {
-            kept.unwritten(id, attempt);
+            held.unwritten(id, attempt);
         }
     }
 
@@ -597,14 +597,14 @@
         places.keySet().removeAll(gone);
         destinations.values().removeIf(at -> now - at > limits.emptyMs());
         control.list(now, news, listed.entries());
-        fellows.listed(destinations.keySet(), places.keySet());
+        peers.listed(destinations.keySet(), places.keySet());
     }
 
     // ---- the round ----
 
     private void round() {
         double begunAt = loop.now();
-        fellows.refresh();
+        peers.refresh();
         if (resting) {
             endpoints.withhold(); // the next process finds them untried
         } else {
@@ -614,13 +614,13 @@
             control.decide(loop.now());
         }
         List<Planned> planned = new ArrayList<>();
-        kept.note();
+        held.note();
         for (Send s : sends) {
-            Held h = kept.get(s.id());
+            Held h = held.get(s.id());
             if (h == null) {
                 continue; // a fault has ended it meanwhile
             }
-            int attempt = kept.tries(s.id());
+            int attempt = held.tries(s.id());
             planned.add(new Planned(
                     s.endpoint(),
                     new Item(
@@ -632,26 +632,26 @@
                             s.timeoutMs(),
                             h.deadlineAt,
                             s.last())));
-            fellows.called(h.taken.destination(), attempt > 0);
+            peers.called(h.taken.destination(), attempt > 0);
         }
         sends.clear();
         call(planned);
         // What is noted may have run, and what is not surely has not: a call that has no connection yet is not.
         long bootNow = clock.nowMs();
         endpoints.ready((endpoint, i) -> {
-            if (kept.get(i.id()) != null) {
-                kept.called(i.id(), i.attempt(), endpoint, bootNow);
+            if (held.get(i.id()) != null) {
+                held.called(i.id(), i.attempt(), endpoint, bootNow);
             }
         });
-        boolean written = kept.flush() || unwritten();
+        boolean written = held.flush() || unwritten();
         notices.flush(); // stored by now; they have the least time of all that a round does
-        kept.confirm();
+        held.confirm();
         write(written, begunAt);
         if (opening != null && !unlisted) {
             opening.cancel();
             open();
         }
-        boolean nothingLeft = resting || kept.isEmpty() && notices.owed() == 0;
+        boolean nothingLeft = resting || held.isEmpty() && notices.owed() == 0;
         if (late || closing && nothingLeft && endpoints.out() == 0 && !clients.busy()) {
             part();
         }
@@ -673,7 +673,7 @@
             endpoints.postpone();
             loop.catchUp();
         } else {
-            endpoints.write(id -> written && kept.get(id) != null);
+            endpoints.write(id -> written && held.get(id) != null);
         }
     }
 
@@ -683,12 +683,12 @@
      * Calls that it could not note are not made: after a restart nobody would know of them.
      */
     private boolean unwritten() {
-        for (Held h : kept.fresh()) {
+        for (Held h : held.fresh()) {
             control.withdrawn(loop.now(), h.taken.id());
-            kept.over(h.taken.id());
-            h.client.answer(kept.certain() ? REFUSED : FAILED, 0);
+            held.over(h.taken.id());
+            h.client.answer(held.certain() ? REFUSED : FAILED, 0);
         }
-        return kept.flush();
+        return held.flush();
     }
 
     /** Messages of one round to one endpoint travel together, as many as a call carries and a body holds. */
@@ -743,7 +743,7 @@
 
     /** A message that its client has not been told of yet is answered there, any other one by a notice. */
     private void end(long id, int status, OwedNotice notice) {
-        Held h = kept.release(id);
+        Held h = held.release(id);
         if (h == null) {
             return;
         }
@@ -752,7 +752,7 @@
             h.client.answer(status, notice.afterMs());
             h.client = null;
         } else {
-            kept.owed(id, notice);
+            held.owed(id, notice);
             double dueAt = Math.max(
                     h.deadlineAt + limits.notices().dueMs(),
                     returnedAt + limits.notices().returnMs());
@@ -794,16 +794,16 @@
 
     @Override
     public void confine() {
-        kept.all().forEach(h -> bind(h.taken));
+        held.all().forEach(h -> bind(h.taken));
     }
 
     @Override
     public boolean asks() {
-        return fellows.books();
+        return peers.books();
     }
 
     @Override
     public void ask(BookingRequest ask) {
-        loop.post(() -> fellows.ask(ask));
+        loop.post(() -> peers.ask(ask));
     }
 }
