A relay that returns calls what it holds at once; the first wait it is told binds all of it

One call went to a destination until one had ended there. Change: Control no longer knows that it has returned.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -161,7 +161,6 @@
         double refusedShare; // of our recent calls
         double fullSince = Double.NaN; // first of the refusals with no delivery between
         int failRun, fullRun, fulls; // failures in a row; refusals in a row; such that told no wait
-        boolean heard; // a call has ended since we started or returned
 
         Unit(Dest dest, Kind kind) {
             this.dest = dest;
@@ -236,7 +235,6 @@
     private double wakeAt = FOREVER, askAt = FOREVER; // earliest wake-up asked for; next asking for the list
     private double nextWake; // earliest that this round wants
     private double startedAt = Double.NaN; // when the first message came
-    private boolean returned; // after a restart, with messages that were tried before
 
     /** One relay's decisions; the same events and seed give the same actions. */
     public Control(Settings settings, long seed, Actions actions) {
@@ -338,7 +336,6 @@
             m.doubtAt = m.handedAt; // the earliest send that a history which we never saw can hold
         }
         m.pauses = m.tries = message.tried().size();
-        returned |= m.tries > 0;
         for (Try t : message.tried()) { // of this relay before a restart; what may have run still may
             if (!t.maybeRan() || m.inDoubt()) {
                 continue;
@@ -497,7 +494,6 @@
             return;
         }
         localPauseMs = FIRST_LOCAL_PAUSE_MS;
-        e.unit.heard = true;
         if (!Double.isNaN(o.load().limitPerS())) {
             e.unit.limit = o.load().limitPerS();
         }
@@ -1056,10 +1052,6 @@
         if (u.waitUntil > now) {
             return later(u.waitUntil);
         }
-        // A return knows of no wait, and what was held comes with it: the first call asks for all of them.
-        if (returned && !u.heard && u.endpoints.stream().anyMatch(x -> x.inflight > 0)) {
-            return false;
-        }
         if (e.down) {
             boolean onTrial = u.endpoints.stream().anyMatch(x -> x.down && x.inflight > 0); // one at a time
             return !onTrial && (e.trialAt <= now || later(e.trialAt));
