--- a/src/main/java/firstair/kit/soak/RestartSoak.java
+++ b/src/main/java/firstair/kit/soak/RestartSoak.java
@@ -14,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.LocalTime;
+import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -135,7 +136,7 @@
         if (verdicts.isEmpty() && seen.unanswered.isEmpty()) {
             delete(folder);
         } else {
-            LocalTime origin = LocalTime.now().minusNanos((long) (seen.now() * 1e6));
+            LocalTime origin = LocalTime.now(ZoneId.systemDefault()).minusNanos((long) (seen.now() * 1e6));
             System.out.println("  seed " + seed + ": 0 ms is " + origin + " in " + trace);
         }
         int taken = (int) seen.handIns.stream().filter(h -> h.status() == 202).count();
--- a/src/main/java/firstair/relay/platform/NoticePlan.java
+++ b/src/main/java/firstair/relay/platform/NoticePlan.java
@@ -118,8 +118,8 @@
     }
 
     /**
-     * The next post to be made now, or null. While one is out that is neither slow nor full, new notices wait for
-     * its end: they would only share its fate over a second connection. None waits longer than for an answer of its own.
+     * The next post to be made now, or null. While one is out that is neither slow nor full, new notices wait for its
+     * end: they would only share its fate over a second connection. None waits longer than for an answer of its own.
      */
     Post next(double now) {
         for (Notice n : owed.values()) {
@@ -263,8 +263,8 @@
     }
 
     /**
-     * One notice among them cannot be read, or the connection is spoilt. Halves are tried, so that it holds up no other;
-     * one that is alone goes over another connection at once, and pauses if that does not help.
+     * One notice among them cannot be read, or the connection is spoilt. Halves are tried, so that it holds up no
+     * other; one that is alone goes over another connection at once, and pauses if that does not help.
      */
     private void unreadable(Post p, double now) {
         int half = Math.max(1, p.notices.size() / 2);
--- a/src/test/java/firstair/control/ColdFleetTest.java
+++ b/src/test/java/firstair/control/ColdFleetTest.java
@@ -31,8 +31,8 @@
     }
 
     /**
-     * The strict reading of rows R14, R26 and B16: the budget binds on every day, however many relays there are; a return in a
-     * thousand may go over it. It needs slow start to be decided anew, which is an issue of its own.
+     * The strict reading of rows R14, R26 and B16: the budget binds on every day, however many relays there are; a
+     * return in a thousand may go over it. It needs slow start to be decided anew, which is an issue of its own.
      */
     @ParameterizedTest
     @ValueSource(ints = {5, 20, 30, 100})
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -308,8 +308,8 @@
     }
 
     /**
-     * What came before the next call was written, and nobody has read. On a connection that has ended that call would be
-     * lost; an answer that nobody asked for would be taken for the call's own, and a refusal have it sent twice.
+     * What came before the next call was written, and nobody has read. On a connection that has ended that call would
+     * be lost; an answer that nobody asked for would be taken for the call's own, and a refusal have it sent twice.
      *
      * <p>A connection's end and its bytes are known once the selector's thread has read them, and a link that is asked
      * whether it is idle knows no more. Here that thread is held until the call has been written.
@@ -382,9 +382,9 @@
     // ---- interim answers ----
 
     /**
-     * An endpoint may send answers of 1xx before its own, and take its time behind them. An answer that has begun must be
-     * whole within {@code answerMs}; a 1xx used to count as that begin, and the call was given up as one that may have
-     * run, though its delivery was on the way.
+     * An endpoint may send answers of 1xx before its own, and take its time behind them. An answer that has begun must
+     * be whole within {@code answerMs}; a 1xx used to count as that begin, and the call was given up as one that may
+     * have run, though its delivery was on the way.
      */
     @ParameterizedTest
     @ValueSource(
--- a/src/test/java/firstair/relay/faults/ListenerCloseTest.java
+++ b/src/test/java/firstair/relay/faults/ListenerCloseTest.java
@@ -18,9 +18,9 @@
  * clients have connected, have written a request, and get no answer. The gap is a few microseconds long, but a thread
  * that is put aside in it stays there for milliseconds.
  *
- * <p>What showed it: clients that connect for each request lost 17 of them in 24 ends on a machine with eight cores, 470
- * to 495 ms behind SIGTERM, in two bursts and two single ones, and none elsewhere. Here the close of the listener takes
- * {@value #GAP_MS} ms, so that the gap is there in each end.
+ * <p>What showed it: clients that connect for each request lost 17 of them in 24 ends on a machine with eight cores,
+ * 470 to 495 ms behind SIGTERM, in two bursts and two single ones, and none elsewhere. Here the close of the listener
+ * takes {@value #GAP_MS} ms, so that the gap is there in each end.
  */
 class ListenerCloseTest extends FaultTest {
     private static final int GAP_MS = 60;
--- a/src/test/java/firstair/relay/fleet/FleetProcessTest.java
+++ b/src/test/java/firstair/relay/fleet/FleetProcessTest.java
@@ -339,8 +339,8 @@
     }
 
     /**
-     * Row C9. The wall clock of every machine is stepped by four hours, forward; a booking is three hours away. Its time is
-     * read once, when its relay begins, and runs on with the clock that is never stepped: no hour has passed.
+     * Row C9. The wall clock of every machine is stepped by four hours, forward; a booking is three hours away. Its
+     * time is read once, when its relay begins, and runs on with the clock that is never stepped: no hour has passed.
      */
     @Test
     void aSteppedWallClockEndsNoBooking() throws Exception {
--- a/src/test/java/firstair/relay/platform/NoticePlanTest.java
+++ b/src/test/java/firstair/relay/platform/NoticePlanTest.java
@@ -97,12 +97,12 @@
     }
 
     /**
-     * Row R2. New notices wait for the end of a post that is out, which may never be answered. One with less time left than
-     * that post was given used to wait as long all the same.
+     * Row R2. New notices wait for the end of a post that is out, which may never be answered. One with less time left
+     * than that post was given used to wait as long all the same.
      *
      * <p>What showed it, in a soak beside busy processes (seed 222, a notice 352 ms behind its message's time): {@code
-     * 03:52:45.918 notices 9: post, 125.59 ms of patience}; {@code 45.935 message s222c7-81: over}; {@code 46.053 notices
-     * 10: post over a new connection}, the first one with it, when a third of its time had long passed.
+     * 03:52:45.918 notices 9: post, 125.59 ms of patience}; {@code 45.935 message s222c7-81: over}; {@code 46.053
+     * notices 10: post over a new connection}, the first one with it, when a third of its time had long passed.
      */
     @Test
     void aNoticeWaitsBehindAPostNoLongerThanForAnAnswerOfItsOwn() {
