Test: no place told to a process is a port that the system gives to others

Cause: a run of all tests failed with "FaultyLinksTest.<init>:39->start:46 Bind Address already in use" and, behind it, itEndsWhole (a thread of the instance that never started). FaultyLinks.places closes its ports before it tells them; they are ephemeral ones.

--- a/src/test/java/firstair/kit/fleet/FaultyLinksTest.java
+++ b/src/test/java/firstair/kit/fleet/FaultyLinksTest.java
@@ -12,6 +12,8 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -192,6 +194,27 @@
         });
     }
 
+    /**
+     * A place is told to a process that binds it later, so nobody else may get its port in between.
+     *
+     * <p>What happened: the places were ports that the system gives to whoever asks for any, free again as soon as they
+     * had been told. What showed it, in a run of all tests in two processes: {@code FaultyLinksTest.<init>:39->start:46
+     * Bind Address already in use}; the links of that instance were never closed, and {@code itEndsWhole} found their
+     * thread.
+     */
+    @Test
+    void noPlaceIsAPortThatTheSystemGivesToOthers() throws Exception {
+        String[] range = Files.readString(Path.of("/proc/sys/net/ipv4/ip_local_port_range"))
+                .trim()
+                .split("\\s+");
+        int first = Integer.parseInt(range[0]);
+        int last = Integer.parseInt(range[1]);
+        assertThat(FaultyLinks.places(List.of("d", "e", "f")).values())
+                .allSatisfy(at -> assertThat(at.getPort() < first || at.getPort() > last)
+                        .as("%s is outside %d to %d", at, first, last)
+                        .isTrue());
+    }
+
     @Test
     void itEndsWhole() throws Exception {
         InetSocketAddress at = links.between("a", "b");
