--- a/src/test/java/firstair/kit/fleet/FaultyLinksTest.java
+++ b/src/test/java/firstair/kit/fleet/FaultyLinksTest.java
@@ -7,6 +7,7 @@
 import firstair.relay.fleet.PeerWire;
 import firstair.relay.standin.Await;
 import firstair.relay.standin.LoopThread;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -204,9 +205,10 @@
      */
     @Test
     void noPlaceIsAPortThatTheSystemGivesToOthers() throws Exception {
-        String[] range = Files.readString(Path.of("/proc/sys/net/ipv4/ip_local_port_range"))
-                .trim()
-                .split("\\s+");
+        String[] range;
+        try (BufferedReader ephemeral = Files.newBufferedReader(Path.of("/proc/sys/net/ipv4/ip_local_port_range"))) {
+            range = ephemeral.readLine().split("\\s+");
+        }
         int first = Integer.parseInt(range[0]);
         int last = Integer.parseInt(range[1]);
         assertThat(FaultyLinks.places(List.of("d", "e", "f")).values())
