Ports of processes that start later are nobody else's in between

Cause: FaultyLinks.places and the restart soak told ports of the system's ephemeral range and freed them; before the process bound one, another bind or connection could have it. The last run of all tests failed so: "FaultyLinksTest.<init>:39->start:46 Bind Address already in use", and itEndsWhole behind it, which found the thread of the links that nobody closed. Change: LoopbackPorts: ports outside that range, a block for each process, claimed by a socket. FaultyLinksTest starts in its BeforeEach, so that what fails there is closed all the same. The collision itself was not played.

--- a/src/main/java/firstair/kit/fleet/FaultyLinks.java
+++ b/src/main/java/firstair/kit/fleet/FaultyLinks.java
@@ -1,13 +1,12 @@
 package firstair.kit.fleet;
 
+import firstair.kit.run.LoopbackPorts;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +22,6 @@
 public final class FaultyLinks implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(FaultyLinks.class.getName());
     private static final int MOST_RELAYS = 32;
-    private static final int PORTS = 20;
     private static final double NS_PER_MS = 1e6;
     private static final long END_MS = 5000;
 
@@ -78,29 +76,28 @@
     }
 
     private FaultyLink link(long seed, InetSocketAddress to) throws IOException {
-        Ports ports = Ports.open();
-        ports.udp.configureBlocking(false);
-        ports.tcp.configureBlocking(false);
-        FaultyLink link = new FaultyLink(seed, selector, ports.udp, ports.tcp, to);
-        ports.udp.register(selector, SelectionKey.OP_READ, (FaultyLink.Ready) link::datagrams);
-        ports.tcp.register(selector, SelectionKey.OP_ACCEPT, (FaultyLink.Ready) link::accept);
+        InetSocketAddress at = LoopbackPorts.shared().next();
+        DatagramChannel udp = DatagramChannel.open();
+        ServerSocketChannel tcp = ServerSocketChannel.open();
+        try {
+            udp.bind(at).configureBlocking(false);
+            tcp.bind(at).configureBlocking(false);
+        } catch (IOException e) {
+            udp.close();
+            tcp.close();
+            throw e;
+        }
+        FaultyLink link = new FaultyLink(seed, selector, udp, tcp, to);
+        udp.register(selector, SelectionKey.OP_READ, (FaultyLink.Ready) link::datagrams);
+        tcp.register(selector, SelectionKey.OP_ACCEPT, (FaultyLink.Ready) link::accept);
         return link;
     }
 
-    /** Addresses on loopback whose ports are free for UDP and TCP, for relays that are started right afterwards. */
+    /** Addresses on loopback for relays that are started later: see {@link LoopbackPorts}. */
     public static Map<String, InetSocketAddress> places(List<String> names) throws IOException {
         Map<String, InetSocketAddress> all = new LinkedHashMap<>();
-        List<Ports> held = new ArrayList<>(); // all at once, or two names could get the same port
-        try {
-            for (String name : names) {
-                Ports ports = Ports.open();
-                held.add(ports);
-                all.put(name, ports.address());
-            }
-        } finally {
-            for (Ports p : held) {
-                p.close();
-            }
+        for (String name : names) {
+            all.put(name, LoopbackPorts.shared().next());
         }
         return all;
     }
@@ -209,42 +206,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /** The same port for UDP and TCP. */
-    private static final class Ports {
-        private final DatagramChannel udp;
-        private final ServerSocketChannel tcp;
-
-        private Ports(DatagramChannel udp, ServerSocketChannel tcp) {
-            this.udp = udp;
-            this.tcp = tcp;
-        }
-
-        static Ports open() throws IOException {
-            IOException last = null;
-            for (int tries = 0; tries < PORTS; tries++) {
-                ServerSocketChannel tcp = ServerSocketChannel.open();
-                DatagramChannel udp = DatagramChannel.open();
-                try {
-                    tcp.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-                    udp.bind(tcp.getLocalAddress());
-                    return new Ports(udp, tcp);
-                } catch (IOException e) {
-                    last = e; // UDP has given this port to somebody else
-                    udp.close();
-                    tcp.close();
-                }
-            }
-            throw last;
-        }
-
-        InetSocketAddress address() throws IOException {
-            return (InetSocketAddress) tcp.getLocalAddress();
-        }
-
-        void close() throws IOException {
-            udp.close();
-            tcp.close();
-        }
-    }
 }
--- a/src/main/java/firstair/kit/soak/RestartSoak.java
+++ b/src/main/java/firstair/kit/soak/RestartSoak.java
@@ -1,5 +1,6 @@
 package firstair.kit.soak;
 
+import firstair.kit.run.LoopbackPorts;
 import firstair.kit.run.Node;
 import firstair.kit.soak.Observations.Drained;
 import firstair.kit.soak.Observations.Fault;
@@ -7,9 +8,7 @@
 import firstair.kit.soak.Observations.Restart;
 import firstair.kit.standin.MovingPlatform;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -95,7 +94,7 @@
         boolean heldUp = seed % 3 == 0;
         partners = new Partners(seen, seed);
         platform = new MovingPlatform(partners.list(), seed, true, clock);
-        InetSocketAddress address = freePort();
+        InetSocketAddress address = LoopbackPorts.shared().next();
         node = new Node(folder, platform.hostPort(), partners.list());
         node.listen("127.0.0.1:" + address.getPort());
         node.adjust(c -> c.replace("\"repeatWindow\":30000.0", "\"repeatWindow\":" + WINDOW_MS));
@@ -157,12 +156,6 @@
         return t;
     }
 
-    private static InetSocketAddress freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
-        }
-    }
-
     private static void delete(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
             for (Path p : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/test/java/firstair/kit/fleet/FaultyLinksTest.java
+++ b/src/test/java/firstair/kit/fleet/FaultyLinksTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -36,7 +37,10 @@
     private final Map<String, PeerWire> relays = new LinkedHashMap<>();
     private final Map<String, LinkedBlockingQueue<byte[]>> got = new LinkedHashMap<>();
 
-    FaultyLinksTest() throws IOException {
+    FaultyLinksTest() throws IOException {}
+
+    @BeforeEach
+    void startAll() throws IOException {
         for (String name : places.keySet()) {
             got.put(name, new LinkedBlockingQueue<>());
             start(name);
