A held-up round leaves clients' answers to the next one, so that notices go in between

Change: HeldMessages.confirm stops once its round was held up (40 ms); the next round goes on with it. A message that ends before its client was told is confirmed first. A last call of it stands before what nobody took is refused. Its answer for messages that are over goes out all the same (new test). Set-up that stood three times in HeldUpTest is one method; its checks and bounds are as they were.

--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -5,12 +5,15 @@
 import firstair.relay.store.OwedNotice;
 import firstair.relay.store.Store;
 import firstair.relay.store.StoredMessage;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /**
  * The messages that this relay has taken and that are not over: found by its own numbers and by the clients' ids, and
@@ -35,7 +38,8 @@
     private final Store store;
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> ids = new HashMap<>(); // of held messages, by the clients' ids
-    private final List<Held> fresh = new ArrayList<>(); // taken in this round, not answered yet
+    private final List<Held> fresh = new ArrayList<>(); // taken in this round, not stored yet
+    private final Deque<Held> unconfirmed = new ArrayDeque<>(); // stored, and their clients are not told yet
     private long nextId;
 
     HeldMessages(Store store) {
@@ -177,16 +181,31 @@
         return fresh.stream().filter(h -> held.containsKey(h.taken.id())).toList();
     }
 
-    /** Tells the clients of what this round has taken, which is stored by now. */
-    void confirm() {
-        for (Held h : fresh) {
+    /**
+     * Tells clients of what has been taken, which is stored by now, until {@code heldUp} says that it takes too long:
+     * the rest is told by the next call, so that no notice waits for all of them. A message may be over by then.
+     *
+     * @return whether all have been told
+     */
+    boolean confirm(BooleanSupplier heldUp) {
+        unconfirmed.addAll(fresh());
+        fresh.clear();
+        while (!unconfirmed.isEmpty()) {
+            confirm(unconfirmed.peek());
+            if (heldUp.getAsBoolean()) {
+                break;
+            }
+        }
+        return unconfirmed.isEmpty();
+    }
+
+    /** Tells the client of one message, unless it has been told or the message is not stored. */
+    void confirm(Held h) {
+        if (unconfirmed.remove(h)) {
             Submission client = h.client;
             h.client = null;
-            if (client != null && held.containsKey(h.taken.id())) {
-                client.answer(ACCEPTED, 0);
-            }
+            client.answer(ACCEPTED, 0);
         }
-        fresh.clear();
     }
 
     void close() {
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -152,6 +152,7 @@
                 loop.run(this::round);
             }
             over = true;
+            held.confirm(() -> false); // those that the last rounds left
             clients.refuse(); // what was read behind the last round has been taken by nobody
             watch.leave();
             peers.close();
@@ -645,7 +646,9 @@
         });
         boolean written = held.flush() || unwritten();
         notices.flush(); // stored by now; they have the least time of all that a round does
-        held.confirm();
+        if (!held.confirm(() -> loop.heldUpSince(begunAt))) {
+            loop.post(() -> {}); // the other clients are told in the next round
+        }
         write(written, begunAt);
         if (opening != null && !unlisted) {
             opening.cancel();
@@ -748,6 +751,7 @@
             return;
         }
         trace(h, "over with " + status);
+        held.confirm(h); // it is stored by now, so it is taken before it is over
         if (h.client != null) {
             h.client.answer(status, notice.afterMs());
             h.client = null;
--- a/src/test/java/firstair/relay/faults/HeldUpTest.java
+++ b/src/test/java/firstair/relay/faults/HeldUpTest.java
@@ -200,24 +200,13 @@
             Stage.await(reset);
             r.reset();
         };
-        List<Socket> sockets = new ArrayList<>();
-        List<String> slowAnswers = new ArrayList<>();
-        for (int i = 0; i < clients; i++) {
-            Socket s = new Socket();
-            s.connect(stage.node.address());
-            sockets.add(s);
-            slowAnswers.add(rule("sock_write", 0, 1, -HELD_UP_MS / 2, ":" + s.getLocalPort()));
-        }
-        preload.rules(slowAnswers.toArray(String[]::new));
+        List<Socket> sockets = clientsWithSlowAnswers(clients);
         double end = stage.take("m", "unsafe", timeMs) + timeMs;
         stage.called("m", 1, end);
         stage.until(end - HELD_UP_MS / 2.0);
         stage.node.signal("STOP");
         for (int i = 0; i < clients; i++) {
-            sockets.get(i)
-                    .getOutputStream()
-                    .write((stage.node.handInText("n" + i, "safe", 9000, "dest=7", null, 1) + "x")
-                            .getBytes(StandardCharsets.US_ASCII));
+            write(sockets.get(i), "n" + i);
         }
         reset.countDown();
         stage.until(end + HELD_UP_MS / 2.0);
@@ -230,6 +219,50 @@
         }
     }
 
+    /** Connections to the relay, each of whose first answers takes a while to write. */
+    private List<Socket> clientsWithSlowAnswers(int clients) throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        List<String> slowAnswers = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            Socket s = new Socket();
+            s.connect(stage.node.address());
+            sockets.add(s);
+            slowAnswers.add(rule("sock_write", 0, 1, -HELD_UP_MS / 2, ":" + s.getLocalPort()));
+        }
+        preload.rules(slowAnswers.toArray(String[]::new));
+        return sockets;
+    }
+
+    private void write(Socket client, String id) throws Exception {
+        client.getOutputStream()
+                .write((stage.node.handInText(id, "safe", 9000, "dest=7", null, 1) + "x")
+                        .getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** A client that a round leaves to the next ones hears that its message is taken, though that may be over. */
+    @Test
+    void everyClientIsAnsweredThoughAnswersTakeSeveralRounds() throws Exception {
+        int clients = 6;
+        stage.node.start();
+        keepTwoConnections("w");
+        stage.behaviour = r -> r.answer(200);
+        List<Socket> sockets = clientsWithSlowAnswers(clients);
+        for (int i = 0; i < clients; i++) {
+            write(sockets.get(i), "n" + i);
+        }
+        for (int i = 0; i < clients; i++) {
+            try (Socket s = sockets.get(i)) {
+                s.setSoTimeout(4000);
+                byte[] status = s.getInputStream().readNBytes("HTTP/1.1 202".length());
+                assertThat(new String(status, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 202");
+            }
+        }
+        stage.until(stage.now() + 200);
+        for (int i = 0; i < clients; i++) {
+            assertThat(stage.callsOf("n" + i)).as("n" + i).hasSize(1);
+        }
+    }
+
     /** The whole process is held up; behind that a message and a wait are there to be read, in whatever order. */
     @Test
     void aWaitThatIsToldWhileTheProcessIsStoppedIsKept() throws Exception {
@@ -242,9 +275,7 @@
                 String id = "n" + i;
                 stage.node.signal("STOP");
                 double stopped = stage.now();
-                client.getOutputStream()
-                        .write((stage.node.handInText(id, "safe", 9000, "dest=7", null, 1) + "x")
-                                .getBytes(StandardCharsets.US_ASCII));
+                write(client, id);
                 double told = stage.now();
                 turnAway.countDown();
                 stage.until(stopped + HELD_UP_MS);
