Test: a call is over with its message's time though its endpoint does not see the end

Cause: the end of a call that runs to its message's time begins with that time; the decisions hear of it a halt (50 ms) later.

--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -262,6 +262,27 @@
         once();
     }
 
+    /**
+     * Row R2. A call that is waited for until its message's time is ended before that, so that what an endpoint may take
+     * to see the end is over by then: the message's notice has 0.3 s from its time on.
+     *
+     * <p>What happened: the end of the call began with the message's time, and the decisions heard of it only behind
+     * that. What showed it, in a soak beside busy processes (seed 219, a notice 355 ms behind its message's time): a
+     * call that ran to the message's time, and its time-out 50 ms and a late timer behind that.
+     */
+    @Test
+    void aCallIsOverWithItsMessagesTimeThoughItsEndpointDoesNotSeeTheEnd() throws Exception {
+        double timeMs = 3 * HALT_MS;
+        double deadlineAt = loop.now() + timeMs;
+        call(new Item(1, 0, "r1", "k1", new byte[1], LONG_MS, deadlineAt, false));
+        Socket s = accepted();
+        request(s);
+        assertThat(next().result()).isEqualTo(Result.TIMEOUT);
+        assertThat(loop.now()).isLessThan(deadlineAt + 300);
+        assertThat(s.getInputStream().read()).as("given up").isEqualTo(-1);
+        once();
+    }
+
     /** One that has begun has a time of its own. */
     @Test
     void anAnswerThatWasWholeBeforeItsTimeWasLookedAtCounts() throws Exception {
