A call ends so early that its halt is over with its message's time

Change: such a call is waited for a halt less; where less than three halts are left, it has two of them, or all that is left.

--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -240,11 +240,16 @@
             this.latestAt = latest(startedAt, timeoutMs);
         }
 
-        /** How long the answer to a request that is written now is waited for: no message of it outlives the call. */
+        /**
+         * How long the answer to a request that is written now is waited for: no message of it outlives the call. Nor
+         * does the halt that follows, where a message leaves the call twice as long at the least.
+         */
         private double patience(double now) {
             double least =
                     items.stream().mapToDouble(i -> i.deadlineAt() - now).min().orElse(0);
-            return Math.max(1, Math.min(timeoutMs, least));
+            double halt = limits.haltMs();
+            double beforeHalt = Math.max(least - halt, Math.min(least, 2 * halt));
+            return Math.max(1, Math.min(timeoutMs, beforeHalt));
         }
 
         private double latest(double now, double patience) {
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -263,8 +263,8 @@
     }
 
     /**
-     * Row R2. A call that is waited for until its message's time is ended before that, so that what an endpoint may take
-     * to see the end is over by then: the message's notice has 0.3 s from its time on.
+     * Row R2. A call that is waited for until its message's time is ended before that, so that what an endpoint may
+     * take to see the end is over by then: the message's notice has 0.3 s from its time on.
      *
      * <p>What happened: the end of the call began with the message's time, and the decisions heard of it only behind
      * that. What showed it, in a soak beside busy processes (seed 219, a notice 355 ms behind its message's time): a
