Test: a notice does not wait for the calls of a round

Cause: calls are written on the thread that notices are posted on, all of a round at once; found by reading behind the case of the clients' answers.

--- a/src/test/java/firstair/relay/faults/HeldUpTest.java
+++ b/src/test/java/firstair/relay/faults/HeldUpTest.java
@@ -71,16 +71,23 @@
 
     /** Two connections to the partner are kept: each carried a call while the other one was out. */
     private void keepTwoConnections(String id) throws Exception {
-        CountDownLatch both = new CountDownLatch(2);
+        keepConnections(id, 2);
+    }
+
+    /** So many connections to the partner are kept: each carried a call while the other ones were out. */
+    private void keepConnections(String id, int count) throws Exception {
+        CountDownLatch all = new CountDownLatch(count);
         stage.behaviour = r -> {
-            both.countDown();
-            Stage.await(both);
+            all.countDown();
+            Stage.await(all);
             r.answer(200);
         };
-        stage.take(id + "a", "safe", 12_000);
-        stage.take(id + "b", "safe", 12_000);
-        stage.called(id + "a", 1, stage.now() + 3000);
-        stage.called(id + "b", 1, stage.now() + 3000);
+        for (int i = 0; i < count; i++) {
+            stage.take(id + i, "safe", 12_000);
+        }
+        for (int i = 0; i < count; i++) {
+            stage.called(id + i, 1, stage.now() + 3000);
+        }
         stage.until(stage.now() + 100); // longer than a connection rests behind its answer
     }
 
@@ -219,6 +226,51 @@
         }
     }
 
+    /**
+     * Row R2, as above: a message's call breaks while the calls of others are written, and these take long. Found by
+     * reading, behind the case above: calls are written on the thread that notices are posted on.
+     */
+    @Test
+    void aNoticeDoesNotWaitForTheCallsOfARound() throws Exception {
+        int others = 5;
+        int timeMs = 1500;
+        stage.node.start();
+        keepConnections("w", others + 1);
+        CountDownLatch reset = new CountDownLatch(1);
+        stage.behaviour = r -> {
+            if (r.header("request-id").equals("m")) {
+                Stage.await(reset);
+                r.reset();
+            } else {
+                r.answer(200);
+            }
+        };
+        double end = stage.take("m", "unsafe", timeMs) + timeMs;
+        stage.called("m", 1, end);
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < others; i++) {
+            Socket s = new Socket();
+            s.connect(stage.node.address());
+            sockets.add(s);
+        }
+        preload.rules(
+                rule("file_write", 0, 1, -HELD_UP_MS, "messages"), // meanwhile all of them come, for one round
+                rule("sock_write", 0, Preload.ALWAYS, -HELD_UP_MS, partnerPort()));
+        stage.until(end - 2 * HELD_UP_MS);
+        for (int i = 0; i < others; i++) {
+            write(sockets.get(i), "n" + i);
+            stage.until(stage.now() + HELD_UP_MS / 10.0);
+        }
+        stage.until(end - HELD_UP_MS / 2.0);
+        reset.countDown();
+        assertThat(stage.notice("m", end + 2000).atMs())
+                .as("its time ended at %s", end)
+                .isLessThan(end + 300);
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+
     /** Connections to the relay, each of whose first answers takes a while to write. */
     private List<Socket> clientsWithSlowAnswers(int clients) throws Exception {
         List<Socket> sockets = new ArrayList<>();
