A held-up round leaves calls that are not written yet to the next one

Change: behind a write that makes writing take over 40 ms the rest stays for the next round, where each is asked about again. Answers to clients are measured from their own begin, too, so that a slow store does not leave one answer to a round.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -36,6 +36,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -646,7 +647,7 @@
         });
         boolean written = held.flush() || unwritten();
         notices.flush(); // stored by now; they have the least time of all that a round does
-        if (!held.confirm(() -> loop.heldUpSince(begunAt))) {
+        if (!held.confirm(heldUpFromNow())) {
             loop.post(() -> {}); // the other clients are told in the next round
         }
         write(written, begunAt);
@@ -676,10 +677,19 @@
             endpoints.postpone();
             loop.catchUp();
         } else {
-            endpoints.write(id -> written && held.get(id) != null);
+            boolean all = endpoints.write(id -> written && held.get(id) != null, heldUpFromNow());
+            if (!all) {
+                loop.catchUp(); // what is left is as old as what follows a round that was held up
+            }
         }
     }
 
+    /** Whether what begins now is held up, each time that it is asked. */
+    private BooleanSupplier heldUpFromNow() {
+        double begunAt = loop.now();
+        return () -> loop.heldUpSince(begunAt);
+    }
+
     /**
      * The store does not take what this round brought: what came in it is refused, then it is tried again. Where a part
      * of a write may have stayed in the file, the next process might send it, and a refusal would promise too much.
--- a/src/main/java/firstair/relay/endpoints/Endpoints.java
+++ b/src/main/java/firstair/relay/endpoints/Endpoints.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -24,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongPredicate;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -136,18 +138,27 @@
 
     /**
      * Writes what is {@link #ready}, but for messages that could not be noted: those are not sent. A call that a wait
-     * may bind which has been read since its round began is left to the next round, whose {@link #ask} comes first.
+     * may bind which has been read since its round began is left to the next round, whose {@link #ask} comes first. So
+     * is what follows a write behind which {@code heldUp} says that writing takes too long.
+     *
+     * @return whether nothing was left because of that
      */
-    public void write(LongPredicate noted) {
-        List<Call> all = List.copyOf(up);
+    public boolean write(LongPredicate noted, BooleanSupplier heldUp) {
+        Deque<Call> left = new ArrayDeque<>(up);
         up.clear();
-        for (Call c : all) {
+        while (!left.isEmpty()) {
             try {
-                c.write(noted);
+                left.remove().write(noted);
             } catch (RuntimeException e) { // must not take the calls behind it along
                 LOG.log(Level.SEVERE, "fault under a call", e);
             }
+            if (heldUp.getAsBoolean()) {
+                break;
+            }
         }
+        left.forEach(c -> c.noted = true);
+        up.addAll(left);
+        return left.isEmpty();
     }
 
     /** Leaves what is {@link #ready} and noted to the next round, whose {@link #ask} comes first. */
--- a/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
+++ b/src/test/java/firstair/relay/endpoints/CallCrossingsTest.java
@@ -71,7 +71,7 @@
         loop = LoopThread.start(() -> {
             if (endpoints != null) {
                 endpoints.ask((id, attempt) -> LONG_MS);
-                endpoints.write(id -> true);
+                endpoints.write(id -> true, () -> false);
             }
         });
         endpoints = new Endpoints(wire, limits, loop, outcomes::add);
--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -50,7 +50,7 @@
         loop = LoopThread.start(() -> {
             if (endpoints != null) {
                 endpoints.ask((id, attempt) -> LONG_MS);
-                endpoints.write(id -> true);
+                endpoints.write(id -> true, () -> false);
             }
         });
         endpoints = new Endpoints(wire, limits, loop, outcomes::add);
--- a/src/test/java/firstair/relay/endpoints/LateCallsTest.java
+++ b/src/test/java/firstair/relay/endpoints/LateCallsTest.java
@@ -60,7 +60,7 @@
             if (endpoints != null) {
                 endpoints.ask((id, attempt) -> barred.contains(id) ? 0 : LONG_MS);
                 endpoints.ready((e, i) -> noted.add(i.id()));
-                endpoints.write(id -> !unnoted.contains(id));
+                endpoints.write(id -> !unnoted.contains(id), () -> false);
             }
         });
         endpoints = new Endpoints(gate, limits, loop, new Endpoints.Told() {
@@ -431,7 +431,7 @@
         made[0] = LoopThread.start(() -> {
             if (e[0] != null) {
                 e[0].ask((id, attempt) -> barred.contains(id) ? 0 : LONG_MS);
-                e[0].write(id -> true);
+                e[0].write(id -> true, () -> false);
             }
         });
         open.add(made[0]::end);
--- a/src/test/java/firstair/relay/endpoints/SharedCallsTest.java
+++ b/src/test/java/firstair/relay/endpoints/SharedCallsTest.java
@@ -54,7 +54,7 @@
         loop = LoopThread.start(() -> {
             if (endpoints != null) {
                 endpoints.ask((id, attempt) -> goesFor.getOrDefault(id, LONG_MS));
-                endpoints.write(id -> true);
+                endpoints.write(id -> true, () -> false);
             }
         });
         endpoints = new Endpoints(gate, limits, loop, outcomes::add);
