--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -26,11 +26,13 @@
     static final class Held {
         final StoredMessage taken;
         final double deadlineAt;
+        final double graceUntil; // until then its end is in time, since the last process took it; else long past
         Submission client;
 
-        Held(StoredMessage taken, double deadlineAt, Submission client) {
+        Held(StoredMessage taken, double deadlineAt, double graceUntil, Submission client) {
             this.taken = taken;
             this.deadlineAt = deadlineAt;
+            this.graceUntil = graceUntil;
             this.client = client;
         }
     }
@@ -61,16 +63,16 @@
         return store.open();
     }
 
-    /** Takes up what the last process left. */
-    Held resume(StoredMessage taken, double deadlineAt) {
-        Held one = new Held(taken, deadlineAt, null);
+    /** Takes up what the last process left; its end is in time until {@code graceUntil} at the least. */
+    Held resume(StoredMessage taken, double deadlineAt, double graceUntil) {
+        Held one = new Held(taken, deadlineAt, graceUntil, null);
         hold(one);
         return one;
     }
 
     /** Takes a new one; it is stored and its client answered with the end of the round. */
     void take(StoredMessage taken, Submission client) {
-        Held one = new Held(taken, client.deadlineAt(), client);
+        Held one = new Held(taken, client.deadlineAt(), Double.NEGATIVE_INFINITY, client);
         hold(one);
         fresh.add(one);
     }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -82,7 +82,6 @@
     private final Object reloading = new Object();
     private final ConfigReloader reloader;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private double returnedAt = Double.NEGATIVE_INFINITY; // when this process took up what the last one left
     private Runnable lookForChanges = () -> {};
     private boolean looking; // for a new place of the platform, though it is not time for a sweep
     private boolean postponed; // the last round's calls, since it was held up
@@ -268,17 +267,16 @@
     private void resume() {
         double now = loop.now();
         RateLimitedLogger unknown = new RateLimitedLogger(LOG, Level.WARNING); // a line for all of them
-        returnedAt = now;
+        double graceUntil = now + limits.notices().returnMs();
         long bootNow = clock.nowMs();
         for (Store.Open o : held.left()) {
             StoredMessage t = o.taken();
             if (o.owed() != null) {
-                notices.add(
-                        t.id(), t.requestId(), o.owed(), now + limits.notices().returnMs());
+                notices.add(t.id(), t.requestId(), o.owed(), graceUntil);
                 continue;
             }
             Integer type = classes.get(t.className());
-            Held h = held.resume(t, now + (t.deadlineAt() - bootNow));
+            Held h = held.resume(t, now + (t.deadlineAt() - bootNow), graceUntil);
             if (type == null) {
                 unknown.log("class " + t.className() + " is no longer known, its messages are given up");
                 giveUp(t.id());
@@ -394,11 +392,12 @@
      */
     private void endOverdue() {
         double before = loop.now() - limits.overdueMs();
-        if (resting || before < returnedAt + limits.notices().returnMs()) {
-            return; // the next start's; or what came back with this one is looked at in its first rounds
+        if (resting) {
+            return; // the next start's
         }
-        List<Held> overdue =
-                held.all().stream().filter(h -> h.deadlineAt < before).toList();
+        List<Held> overdue = held.all().stream()
+                .filter(h -> h.deadlineAt < before && h.graceUntil < before)
+                .toList();
         if (overdue.isEmpty()) {
             return;
         }
@@ -767,9 +766,7 @@
             h.client = null;
         } else {
             held.owed(id, notice);
-            double dueAt = Math.max(
-                    h.deadlineAt + limits.notices().dueMs(),
-                    returnedAt + limits.notices().returnMs());
+            double dueAt = Math.max(h.deadlineAt + limits.notices().dueMs(), h.graceUntil);
             notices.add(id, h.taken.requestId(), notice, dueAt);
         }
     }
