Calls of a round are put together by a class of their own

Cause: Relay is large, and its round put decided messages into calls between two other steps. No behaviour changes.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -30,7 +30,6 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -60,8 +59,6 @@
 
     private record Send(long id, String endpoint, double timeoutMs, boolean last) {}
 
-    private record Planned(String endpoint, Item item) {}
-
     private final Config config;
     private volatile Limits limits; // of them a running relay takes over what the schema says
     private final Loop loop;
@@ -614,29 +611,8 @@
         if (!resting && !unlisted) {
             control.decide(loop.now());
         }
-        List<Planned> planned = new ArrayList<>();
         held.note();
-        for (Send s : sends) {
-            Held h = held.get(s.id());
-            if (h == null) {
-                continue; // a fault has ended it meanwhile
-            }
-            int attempt = held.tries(s.id());
-            planned.add(new Planned(
-                    s.endpoint(),
-                    new Item(
-                            s.id(),
-                            attempt,
-                            h.taken.requestId(),
-                            h.taken.key(),
-                            h.taken.body(),
-                            s.timeoutMs(),
-                            h.deadlineAt,
-                            s.last())));
-            peers.called(h.taken.destination(), attempt > 0);
-        }
-        sends.clear();
-        call(planned);
+        callDecided();
         // What is noted may have run, and what is not surely has not: a call that has no connection yet is not.
         long bootNow = clock.nowMs();
         endpoints.ready((endpoint, i) -> {
@@ -664,6 +640,34 @@
         }
     }
 
+    /** Begins the calls that the decisions of this round have asked for; none is written yet. */
+    private void callDecided() {
+        CallBatches batches = new CallBatches(this::mostItems, limits.maxBody(), this::call);
+        for (Send s : sends) {
+            Held h = held.get(s.id());
+            if (h == null) {
+                continue; // a fault has ended it meanwhile
+            }
+            int attempt = held.tries(s.id());
+            batches.add(s.endpoint(), item(s, h, attempt));
+            peers.called(h.taken.destination(), attempt > 0);
+        }
+        sends.clear();
+        batches.flush();
+    }
+
+    private static Item item(Send s, Held h, int attempt) {
+        return new Item(
+                s.id(),
+                attempt,
+                h.taken.requestId(),
+                h.taken.key(),
+                h.taken.body(),
+                s.timeoutMs(),
+                h.deadlineAt,
+                s.last());
+    }
+
     /**
      * Writes the calls that this round has decided, unless they are old by now: where the store or the system has held
      * the round up, peers may have told a wait or a drain meanwhile. That is read first, and the calls are asked about
@@ -703,23 +707,9 @@
         return held.flush();
     }
 
-    /** Messages of one round to one endpoint travel together, as many as a call carries and a body holds. */
-    private void call(List<Planned> planned) {
-        Map<String, List<Item>> batches = new LinkedHashMap<>();
-        for (Planned p : planned) {
-            List<Item> batch = batches.computeIfAbsent(p.endpoint(), k -> new ArrayList<>());
-            int bytes =
-                    p.item().bundled() + batch.stream().mapToInt(Item::bundled).sum();
-            Place place = places.get(p.endpoint());
-            int most = place == null ? 1 : place.bundleMax();
-            if (batch.size() >= most || !batch.isEmpty() && bytes > limits.maxBody()) {
-                call(p.endpoint(), batch);
-                batch = new ArrayList<>();
-                batches.put(p.endpoint(), batch);
-            }
-            batch.add(p.item());
-        }
-        batches.forEach(this::call);
+    private int mostItems(String endpoint) {
+        Place place = places.get(endpoint);
+        return place == null ? 1 : place.bundleMax();
     }
 
     /** A fault under one call must not take the calls behind it along, nor leave its own messages without an end. */
