A test's refused address is a port that nobody else can be given

Cause: EndpointsTest told the port of a socket that it had closed, an ephemeral one; somebody else may have it by then (as in FaultyLinksTest). Change: LoopbackPorts.

--- a/src/test/java/firstair/relay/endpoints/EndpointsTest.java
+++ b/src/test/java/firstair/relay/endpoints/EndpointsTest.java
@@ -4,6 +4,7 @@
 
 import firstair.control.Controller.Outcome;
 import firstair.control.Controller.Result;
+import firstair.kit.run.LoopbackPorts;
 import firstair.kit.standin.StandIn;
 import firstair.relay.Limits;
 import firstair.relay.Loop;
@@ -211,9 +212,7 @@
 
     @Test
     void aRefusedConnectionNeverRan() throws Exception {
-        try (ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            learn((InetSocketAddress) gone.getLocalSocketAddress());
-        }
+        learn(LoopbackPorts.shared().next()); // nobody listens there, nor will somebody who asks for any free port
         assertThat(ends(LONG_MS)).isEqualTo(Result.CONNECT_FAILED);
     }
 
