Test: connections of other relays stay within the descriptors too

Cause: a relay of a fleet takes up to twice the members and 8 connections from other relays, and has one to each; Limits shares all descriptors out without them.

--- a/src/test/java/firstair/relay/LimitsTest.java
+++ b/src/test/java/firstair/relay/LimitsTest.java
@@ -2,6 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import firstair.config.Read;
+import firstair.config.Values;
+import firstair.relay.fleet.PeerWire;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class LimitsTest {
@@ -16,6 +20,29 @@
         }
     }
 
+    /**
+     * A relay of a fleet has connections from and to the other relays as well, by {@link PeerWire}. Found by reading:
+     * they were outside the descriptors that are shared out.
+     */
+    @Test
+    void connectionsOfOtherRelaysStayWithinTheDescriptorsToo() {
+        for (int[] shape : new int[][] {{128, 5}, {1024, 32}, {4096, 100}}) {
+            int sockets = shape[0];
+            int members = shape[1];
+            Values own = Read.texts(
+                            Map.of("fleet.name", "f", "fleet.peers", "r=127.0.0.1:7000" + ",r".repeat(members - 1)),
+                            Map.of("fleet.name", "test", "fleet.peers", "test"),
+                            TunableSettings.schema())
+                    .values();
+            Limits l = Limits.of(sockets, 3, HEAP, 5, 1000, 10_000).tuned(own);
+            int peers = PeerWire.Bounds.of(members).connections() + members;
+            assertThat(l.maxClients() + l.maxLinks() + peers)
+                    .as("%s members, %s descriptors", members, sockets)
+                    .isLessThanOrEqualTo(sockets - 20);
+            assertThat(l.maxClients()).isPositive();
+        }
+    }
+
     @Test
     void asManyMayWaitToBeAcceptedAsMayBeOpen() {
         for (int sockets : new int[] {96, 1024, 4096}) {
