Descriptors for other relays are kept back from clients and endpoints

Cause: connections from and to the other relays of a fleet, and their two listeners, were outside the descriptors that Limits shares out. Change: Limits.tuned keeps them back where fleet.peers names relays, at most half of all connections; PeerWire takes the same figure.

--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -137,6 +137,8 @@
     private static final double DRAIN_MS = 3000; // SIGKILL comes 3.7 s after SIGTERM at the soonest
     // Sizes and counts.
     private static final int OTHER_FILES = 32; // 17 at rest: jars, selector, store, listener, discovery
+    private static final int PEERS_MORE = 8; // connections of relays that have begun anew
+    private static final int PEER_FILES = 6; // two listeners, and two files for each of their selectors
     private static final double CLIENT_SHARE = 0.5; // of all other descriptors
     private static final double CROWD_SHARE = 1.0 / 6; // of all descriptors: half of what clients hold at most
     private static final double HEAP_SHARE = 0.5; // of the heap, for what clients are sending
@@ -242,20 +244,33 @@
         return listAnswerMs / LIST_CALLS;
     }
 
+    /** How many connections a relay takes from so many relays: one that starts anew may have one of before. */
+    public static int peerConnections(int members) {
+        return 2 * members + PEERS_MORE;
+    }
+
+    /** All descriptors that a relay has for the others of its fleet, itself among the members. */
+    private static int peerFiles(int members) {
+        return members == 0 ? 0 : peerConnections(members) + members + PEER_FILES;
+    }
+
     /** These limits with what an installation sets of its own; {@link TunableSettings#schema} tells what it may. */
     public Limits tuned(Values own) {
         if (own.isEmpty()) {
             return this;
         }
         Notices n = notices;
+        int connections = maxClients + maxLinks;
+        int left = connections - Math.min(peerFiles(own.names("fleet.peers").size()), connections / 2);
+        int clients = Math.min(maxClients, (int) (left * CLIENT_SHARE));
         return new Limits(
                 sockets,
                 diskBytes,
                 maxBody,
                 maxHead,
-                maxClients,
-                crowd,
-                maxLinks,
+                clients,
+                Math.min(crowd, clients / 2),
+                left - clients,
                 readBuffer,
                 backlog,
                 roundMs,
--- a/src/main/java/firstair/relay/fleet/PeerWire.java
+++ b/src/main/java/firstair/relay/fleet/PeerWire.java
@@ -1,5 +1,6 @@
 package firstair.relay.fleet;
 
+import firstair.relay.Limits;
 import firstair.relay.Loop;
 import firstair.relay.net.Datagrams;
 import firstair.relay.net.Frames;
@@ -80,7 +81,7 @@
                     5000,
                     60_000,
                     1000,
-                    2 * members + 8); // a peer that starts anew may have one connection of before
+                    Limits.peerConnections(members));
         }
     }
 
