Sockets between relays are closed once close returns

Cause (PeerWireTest.itsAddressIsFreeOnceItIsClosed): a transport's shutdown leaves its sockets to its selector's thread; until that has let go of them their address is in use. Change: SelectorThreads.end waits for that thread, for 1 s at most; Frames and Datagrams use it. A process ends behind it in any case.

--- a/src/main/java/firstair/relay/net/Datagrams.java
+++ b/src/main/java/firstair/relay/net/Datagrams.java
@@ -80,9 +80,9 @@
         }
     }
 
-    /** Closes the socket and ends the selector's thread. */
+    /** Closes the socket and ends the selector's thread; its address is free behind that. */
     public void close() throws IOException {
-        transport.shutdownNow();
+        SelectorThreads.end(transport);
     }
 
     private static final class Arrivals extends BaseFilter {
--- a/src/main/java/firstair/relay/net/Frames.java
+++ b/src/main/java/firstair/relay/net/Frames.java
@@ -110,9 +110,9 @@
         PIPE.set(connection, pipe);
     }
 
-    /** Closes all connections and ends the selector's thread. */
+    /** Closes all connections and ends the selector's thread; its address is free behind that. */
     public void close() throws IOException {
-        transport.shutdownNow();
+        SelectorThreads.end(transport);
     }
 
     /** On connections that we opened nothing comes but their end. */
--- a/src/test/java/firstair/relay/fleet/PeerWireTest.java
+++ b/src/test/java/firstair/relay/fleet/PeerWireTest.java
@@ -307,9 +307,9 @@
     /**
      * Who has closed it may listen at its address at once, as the next process of a relay does.
      *
-     * <p>What happened: the listener was closed by its selector's thread, a little behind the return of close. What showed
-     * it, beside two runs of all tests: {@code aPeerThatStartsAnewIsReachedAgain:295->wire:48 Bind Address already in use},
-     * in 2 of 450 plays, and in 1 of 600 at ports that nobody else is given.
+     * <p>What happened: the listener was closed by its selector's thread, a little behind the return of close. What
+     * showed it, beside two runs of all tests: {@code aPeerThatStartsAnewIsReachedAgain} failed with {@code Address
+     * already in use} in 2 of 450 plays, and in 1 of 600 at ports that nobody else is given.
      */
     @Test
     void itsAddressIsFreeOnceItIsClosed() throws Exception {
