--- a/src/test/java/firstair/kit/soak/JudgeTest.java
+++ b/src/test/java/firstair/kit/soak/JudgeTest.java
@@ -91,6 +91,27 @@
         assertThat(new Judge(seen, WINDOW_MS, GRACE_MS).verdicts()).isEmpty();
     }
 
+    /**
+     * While no process runs there is nobody who could answer: what is written then goes to one that was killed.
+     *
+     * <p>What happened: a client rests for up to 60 ms between its connecting and its first request; the process was
+     * killed meanwhile, and the judge excused 50 ms. What showed it, in a soak (seed 215): {@code R4: s215c1-119 was
+     * written at 13008}, a kill at 12950 that was over at 12954, and the next start at 13554.
+     */
+    @Test
+    void aRequestThatIsWrittenWhileNoProcessRunsIsNotHeldAgainstOne() {
+        seen.restarts.add(new Restart(false, 20, 25, 620, 900));
+        handIn("m1", Effect.SAFE, 0, 150);
+        assertThat(new Judge(seen, WINDOW_MS, GRACE_MS).verdicts()).isEmpty();
+    }
+
+    @Test
+    void aRequestBehindAStartIsHeldAgainstItsProcess() {
+        seen.restarts.add(new Restart(false, 10, 15, 45, 48));
+        handIn("m1", Effect.SAFE, 0, 150);
+        told("R4");
+    }
+
     @Test
     void aSecondCallOfAnUnsafeMessage() {
         handIn("m1", Effect.UNSAFE, 202, 9000);
