--- a/src/main/java/firstair/kit/soak/Judge.java
+++ b/src/main/java/firstair/kit/soak/Judge.java
@@ -81,11 +81,14 @@
         return restarts.stream().anyMatch(r -> r.endedMs() > fromMs && r.firstMs() < toMs);
     }
 
-    /** Whether a process was killed between two moments: one that is told to end still owes its answers. */
+    /**
+     * Whether a process was killed between two moments, or none ran behind a kill: one that is told to end still owes
+     * its answers, and what is written while none runs goes to the one that was killed.
+     */
     private boolean killed(double fromMs, double toMs) {
         return restarts.stream()
                 .anyMatch(r -> (!r.told() || r.endedMs() - r.firstMs() >= KILL_MS)
-                        && r.endedMs() > fromMs
+                        && r.launchedMs() > fromMs
                         && r.firstMs() < toMs);
     }
 
