--- a/review/standin/review/Case2.java
+++ b/review/standin/review/Case2.java
@@ -1,46 +1,40 @@
 package review;
 
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A clump of messages of full size comes while their partner has told to wait. The relay takes on more than its store may
- * hold, can't write any further record, and hands messages back. It is killed, and the next process sends some of them.
+ * A keyed message, whose repeats are dropped within one zone only, runs at an endpoint of its zone, and the answer is
+ * lost. The endpoint is drained and gone, the relay is restarted, and the other zone gets the message.
  */
 final class Case2 {
-    private static final String SETTINGS = "{\"groupSize\":2,\"slotNo\":%d,\"az\":0,\"azs\":[\"here\"],"
-            + "\"discovery\":\"ask\",\"quantum\":5.0,\"weightKind\":\"none\",\"shapes\":[\"large\",\"small\"],\"classes\":["
-            + Rig.messageClass("order", "fragile", "all", 0, 2_000, 20_000) + "],"
-            + "\"familyInfo\":{\"bundleMax\":[20,1],\"kindApart\":[false,false],\"late\":\"halving\",\"maxCalls\":13},"
-            + "\"loadReport\":{\"how\":\"answers\",\"names\":[\"x0\",\"x1\"]},"
-            + "\"limits\":{\"cancelling\":true,\"connIdle\":10000.0,\"connectTimeout\":1000.0,\"maxAttempts\":6,"
-            + "\"maxOpen\":208,\"maxRetryAfter\":3000.0,\"retryAfter\":false,\"multiplex\":1,\"mayDuplicate\":false},"
-            + "\"safety\":{\"answerSlack\":20.0,\"askEvery\":10000.0,\"drainGrace\":1000.0,\"fallMultiple\":1.5,"
-            + "\"overloadFor\":2000.0,\"startCapacity\":0.26,\"warmAfter\":10000.0}}";
-    private static final int MESSAGES = 30;
-    private static final int BODY = 65_536;
-    private static final int USUAL_MESSAGES = 200;
-    private static final long TIME_MS = 20_000;
+    private static final String SETTINGS = "{\"groupSize\":1,\"slotNo\":0,\"az\":0,\"azs\":[\"north\",\"south\"],"
+            + "\"discovery\":\"ask\",\"quantum\":5.0,\"weightKind\":\"rough\",\"shapes\":[\"partner\"],\"classes\":["
+            + Rig.messageClass("event", "dedup", "zone", 10_000, 3_000, 16_000) + "],"
+            + "\"familyInfo\":{\"bundleMax\":[1],\"kindApart\":[true],\"late\":\"halving\",\"maxCalls\":8},"
+            + "\"loadReport\":{\"how\":\"none\",\"names\":[]},"
+            + "\"limits\":{\"cancelling\":true,\"connIdle\":15000.0,\"connectTimeout\":1500.0,\"maxAttempts\":12,"
+            + "\"maxOpen\":60,\"maxRetryAfter\":2000.0,\"retryAfter\":true,\"multiplex\":8,\"mayDuplicate\":false},"
+            + "\"safety\":{\"answerSlack\":20.0,\"askEvery\":10000.0,\"drainGrace\":250.0,\"fallMultiple\":2.0,"
+            + "\"overloadFor\":3000.0,\"startCapacity\":0.23,\"warmAfter\":13000.0}}";
+    private static final int[] PARTNERS = {7, 8, 9};
+    private static final long TIME_MS = 16_000;
+    private static final double DRAIN_MS = 2_000;
+    private static final double REPLACED_MS = 4_900;
     private static final double DOWN_MS = 600;
-    private static final long DISK_MB = 3;
-    private static final String FIRST = "-first";
-    private static final String AGAIN = "-again";
+
+    /** The message ran there, and was not dropped as a repeat. */
+    private record Effect(double at, String endpoint, String zone) {}
 
     private final Rig rig;
-    private final Map<String, List<String>> runs = new ConcurrentHashMap<>(); // by message: under which ids it ran
-    private final Map<String, Integer> answers = new ConcurrentHashMap<>();
-    private volatile boolean told; // the partner is above its limit, and has told the first call to wait
-    private volatile long mostDisk;
+    private final Map<String, List<Effect>> effects = new ConcurrentHashMap<>(); // by key
+    private final Map<String, Boolean> seen = new ConcurrentHashMap<>(); // by partner, zone and key
+    private final AtomicInteger answersLost = new AtomicInteger();
 
     private Case2(Rig rig) {
         this.rig = rig;
@@ -50,126 +44,95 @@
         Rig.main(Path.of(args[0]), rig -> new Case2(rig).play());
     }
 
-    private byte[] body(String message) {
-        byte[] body = new byte[BODY];
-        Arrays.fill(body, (byte) '.');
-        byte[] name = (message + " ").getBytes(StandardCharsets.US_ASCII);
-        System.arraycopy(name, 0, body, 0, name.length);
-        return body;
-    }
-
-    private int play() throws Exception {
-        Rig.Server server = rig.new Server(0, this::handle);
-        Rig.Server other = rig.new Server(0, request -> request.answer(200));
-        Rig.Platform platform = rig.new Platform(
-                new Rig.Listed("s-1", server.hostPort(), "here", "large", 7, "up"),
-                new Rig.Listed("s-2", other.hostPort(), "here", "small", 8, "up"));
-        Rig.Relay a = rig.new Relay("n0", platform, String.format(SETTINGS, 0));
-        Rig.Relay b = rig.new Relay("n1", platform, String.format(SETTINGS, 1));
-        a.launch(platform.list());
-        b.launch(platform.list());
-        a.awaitReady();
-        b.awaitReady();
-        rig.sleep(300);
-        Rig.daemon(() -> watchFolder(a));
-
-        for (int i = 0; i < USUAL_MESSAGES; i++) {
-            a.submit("u" + i, "order", 8, null, TIME_MS, "", "usual".getBytes(StandardCharsets.US_ASCII));
-        }
-        rig.note("%d usual messages for another partner handed in", USUAL_MESSAGES);
-        int first = a.submit("m0", "order", 7, null, TIME_MS, "", "m0 ".getBytes(StandardCharsets.US_ASCII));
-        if (first != 202 || !rig.await(1000, () -> told)) {
-            rig.note("the first message did not come");
-            return Rig.NOT_RUN;
-        }
-        double sentAt = rig.now();
-        handInClump(a);
-        int taken = (int) answers.values().stream().filter(status -> status == 202).count();
-        rig.note("clients: %d messages of %d bytes at once, answers %s", MESSAGES, BODY, new TreeMap<>(answers));
-        rig.note("%d taken on; folder of n0: %d bytes", taken, a.diskBytes());
-        int killAt = Math.max(1, taken - 23); // by then the relay still holds more than its store has room for
-        Set<String> handedBack = new HashSet<>();
-        boolean killed = false;
-        while (rig.now() - sentAt < TIME_MS + 500) {
-            for (Rig.Notice notice : platform.notices()) {
-                boolean back = notice.message().endsWith(FIRST) && notice.outcome().equals("handed_back");
-                if (back && handedBack.add(notice.message())) {
-                    String message = notice.message().replace(FIRST, "");
-                    double waitMs = notice.retryInMs() + 200;
-                    Rig.daemon(() -> handInAgain(b, message, sentAt, waitMs));
+    /** An endpoint: runs a message, unless its zone has seen the key; the first answer of those in the north is lost. */
+    private Rig.Server endpoint(String id, int partner, String zone, boolean losesAnswer) throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        return rig.new Server(0, request -> {
+            String key = request.header("idempotency-key");
+            boolean first = seen.putIfAbsent(partner + zone + key, true) == null;
+            if (first) {
+                List<Effect> all = effects.computeIfAbsent(key, k -> new ArrayList<>());
+                synchronized (all) {
+                    all.add(new Effect(rig.now(), id, zone));
                 }
             }
-            if (rig.trouble && !killed && handedBack.size() >= killAt) {
-                killed = true;
-                a.kill();
-                rig.note("%d messages handed back so far; folder of n0: %d bytes", handedBack.size(), a.diskBytes());
-                rig.sleep(DOWN_MS);
-                a.launch(platform.list());
+            boolean lost = losesAnswer && calls.getAndIncrement() == 0;
+            rig.note("endpoint %s (%s): %s, key %s: %s, %s", id, zone, request.header("request-id"), key,
+                    first ? "RUN" : "repeat dropped", lost ? "answer lost" : "200");
+            if (lost) {
+                rig.sleep(100); // the list changes meanwhile
+                answersLost.incrementAndGet();
+                request.reset();
+            } else {
+                request.answer(200);
             }
-            rig.sleep(1);
-        }
-        rig.note("folder of n0: %d bytes at most, %d are allowed", mostDisk, DISK_MB * 1_048_576);
-        Map<String, List<String>> twice = new TreeMap<>(runs);
-        twice.values().removeIf(ids -> ids.size() < 2);
-        rig.note("%d messages were handed back, %d ran, %d of them more than once: %s",
-                handedBack.size(), runs.size(), twice.size(), twice);
-        return twice.isEmpty() ? Rig.HELD : Rig.BROKEN;
+        });
     }
 
-    /** The partner's endpoint: runs whatever comes, since nothing tells a repeat of this class. */
-    private void handle(Rig.Request request) throws Exception {
-        String message = request.text().substring(0, request.text().indexOf(' '));
-        if (!told) {
-            request.answer(429, "Server-Load: {\"x0\":0.0,\"x1\":25}\r\nRetry-After: 1.000\r\n", "");
-            rig.note("endpoint: %s told to wait 1 s", message);
-            told = true;
-            return;
+    private int play() throws Exception {
+        List<Rig.Listed> north = new ArrayList<>();
+        List<Rig.Listed> all = new ArrayList<>();
+        for (int partner : PARTNERS) {
+            Rig.Server n = endpoint("s-" + partner + "n", partner, "north", true);
+            Rig.Server s = endpoint("s-" + partner + "s", partner, "south", false);
+            north.add(new Rig.Listed("s-" + partner + "n", n.hostPort(), "north", "partner", partner, "up"));
+            all.add(new Rig.Listed("s-" + partner + "s", s.hostPort(), "south", "partner", partner, "up"));
         }
-        List<String> ids = runs.computeIfAbsent(message, m -> new CopyOnWriteArrayList<>());
-        ids.add(request.header("request-id"));
-        rig.note("endpoint: %s RUN%s, as %s", message, ids.size() > 1 ? " AGAIN" : "", request.header("request-id"));
-        rig.sleep(100);
-        request.answer(200, "Server-Load: {\"x0\":0.5,\"x1\":25}\r\n", "");
-    }
+        all.addAll(north);
+        Rig.Platform platform = rig.new Platform(all.toArray(Rig.Listed[]::new));
+        Rig.Relay relay = rig.new Relay("n0", platform, SETTINGS);
+        relay.launch(platform.list());
+        relay.awaitReady();
+        rig.sleep(300); // the watch is open
 
-    /** Hands in all messages at once, each on its own connection; their last bytes come together. */
-    private void handInClump(Rig.Relay relay) throws Exception {
-        List<Socket> sockets = new ArrayList<>();
-        for (int i = 0; i < MESSAGES; i++) {
-            Socket socket = relay.connect();
-            sockets.add(socket);
-            byte[] all = relay.request("x" + i + FIRST, "order", 7, null, TIME_MS, "", body("x" + i));
-            socket.getOutputStream().write(all, 0, all.length - 1);
+        double sentAt = rig.now();
+        for (int partner : PARTNERS) {
+            int status = relay.submit("m" + partner, "event", partner, "k" + partner, TIME_MS, "",
+                    ("message for " + partner).getBytes(StandardCharsets.US_ASCII));
+            rig.note("client: m%d for partner %d, answer %d", partner, partner, status);
+            if (status != 202) {
+                return Rig.NOT_RUN;
+            }
         }
-        rig.sleep(50);
-        for (Socket socket : sockets) {
-            socket.getOutputStream().write('.');
+        if (!rig.await(300, () -> effects.size() == PARTNERS.length)) {
+            rig.note("not all messages were called in time");
+            return Rig.NOT_RUN;
         }
-        for (int i = 0; i < MESSAGES; i++) {
-            answers.put("x" + i, relay.answer(sockets.get(i), 400));
-            sockets.get(i).close();
+        if (rig.trouble) {
+            platform.change(in("draining", north));
+            rig.await(1_000, () -> answersLost.get() == PARTNERS.length);
+            rig.sleep(DRAIN_MS);
+            platform.change(in("removed", north));
+            double goneAt = rig.now();
+            rig.sleep(400);
+            if (!"replace".equals(System.getenv("TROUBLE"))) {
+                relay.kill();
+                String lastHeld = platform.list();
+                rig.sleep(DOWN_MS);
+                relay.launch(lastHeld);
+                relay.awaitReady();
+            }
+            rig.sleep(REPLACED_MS - (rig.now() - goneAt));
+            List<Rig.Listed> replacements = new ArrayList<>();
+            for (int partner : PARTNERS) {
+                String id = "s-" + partner + "m";
+                replacements.add(new Rig.Listed(
+                        id, endpoint(id, partner, "north", false).hostPort(), "north", "partner", partner, "up"));
+            }
+            platform.change(in("up", replacements));
         }
-    }
-
-    private void handInAgain(Rig.Relay relay, String message, double sentAt, double waitMs) {
-        try {
-            rig.sleep(waitMs);
-        } catch (InterruptedException e) {
-            return;
+        rig.sleep(TIME_MS + 500 - (rig.now() - sentAt));
+        boolean broken = false;
+        for (Map.Entry<String, List<Effect>> entry : effects.entrySet()) {
+            rig.note("key %s ran %d times: %s", entry.getKey(), entry.getValue().size(), entry.getValue());
+            broken |= entry.getValue().size() > 1;
         }
-        long leftMs = TIME_MS - (long) (rig.now() - sentAt);
-        int status = relay.submit(message + AGAIN, "order", 7, null, leftMs, "Client-Retry: 1\r\n", body(message));
-        rig.note("client: %s handed in again at n1, answer %d", message, status);
+        return broken ? Rig.BROKEN : Rig.HELD;
     }
 
-    private void watchFolder(Rig.Relay relay) {
-        try {
-            while (true) {
-                mostDisk = Math.max(mostDisk, relay.diskBytes());
-                rig.sleep(1);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private static Rig.Listed[] in(String state, List<Rig.Listed> listed) {
+        return listed.stream()
+                .map(e -> new Rig.Listed(e.id(), e.address(), e.zone(), e.kind(), e.cell(), state))
+                .toArray(Rig.Listed[]::new);
     }
 }
--- a/review/standin/review/Case3.java
+++ b/review/standin/review/Case3.java
@@ -1,44 +1,46 @@
 package review;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Two keyed messages that the decisions put into one call are too large for one body and travel as two calls. The second
- * call's connection comes up late, and from then on the first message's window is counted from that moment.
+ * A clump of messages of full size comes while their partner has told to wait. The relay takes on more than its store may
+ * hold, can't write any further record, and hands messages back. It is killed, and the next process sends some of them.
  */
 final class Case3 {
-    private static final double WINDOW_MS = 4_000;
-    private static final double SLACK_MS = 50; // every time limit is so much longer on sockets
-    private static final String SETTINGS = "{\"groupSize\":1,\"slotNo\":0,\"az\":0,\"azs\":[\"here\",\"there\"],"
-            + "\"discovery\":\"ask\",\"quantum\":5.0,\"weightKind\":\"rough\",\"shapes\":[\"large\",\"small\"],\"classes\":["
-            + Rig.messageClass("licence", "dedup", "zone", (long) WINDOW_MS, 4_000, 16_000) + "],"
-            + "\"familyInfo\":{\"bundleMax\":[20,1],\"kindApart\":[true,false],\"late\":\"linear\",\"maxCalls\":8},"
+    private static final String SETTINGS = "{\"groupSize\":2,\"slotNo\":%d,\"az\":0,\"azs\":[\"here\"],"
+            + "\"discovery\":\"ask\",\"quantum\":5.0,\"weightKind\":\"none\",\"shapes\":[\"large\",\"small\"],\"classes\":["
+            + Rig.messageClass("order", "fragile", "all", 0, 2_000, 20_000) + "],"
+            + "\"familyInfo\":{\"bundleMax\":[20,1],\"kindApart\":[false,false],\"late\":\"halving\",\"maxCalls\":13},"
             + "\"loadReport\":{\"how\":\"answers\",\"names\":[\"x0\",\"x1\"]},"
-            + "\"limits\":{\"cancelling\":true,\"connIdle\":5000.0,\"connectTimeout\":1500.0,\"maxAttempts\":12,"
-            + "\"maxOpen\":60,\"maxRetryAfter\":2000.0,\"retryAfter\":false,\"multiplex\":1,\"mayDuplicate\":false},"
+            + "\"limits\":{\"cancelling\":true,\"connIdle\":10000.0,\"connectTimeout\":1000.0,\"maxAttempts\":6,"
+            + "\"maxOpen\":208,\"maxRetryAfter\":3000.0,\"retryAfter\":false,\"multiplex\":1,\"mayDuplicate\":false},"
             + "\"safety\":{\"answerSlack\":20.0,\"askEvery\":10000.0,\"drainGrace\":1000.0,\"fallMultiple\":1.5,"
-            + "\"overloadFor\":1500.0,\"startCapacity\":0.24,\"warmAfter\":12000.0}}";
-    private static final int BODY = 40_000; // two of them are more than a body may hold
-    private static final long TIME_MS = 16_000;
-
-    private static final double RESET_AFTER_MS = 2_000;
-    private static final String LOAD = "Server-Load: {\"x0\":%.1f,\"x1\":20}\r\n";
-
-    /** A message in a call, and whether it ran or was dropped as a repeat. */
-    private record Seen(double at, String message, boolean ran) {}
+            + "\"overloadFor\":2000.0,\"startCapacity\":0.26,\"warmAfter\":10000.0}}";
+    private static final int MESSAGES = 30;
+    private static final int BODY = 65_536;
+    private static final int USUAL_MESSAGES = 200;
+    private static final long TIME_MS = 20_000;
+    private static final double DOWN_MS = 600;
+    private static final long DISK_MB = 3;
+    private static final String FIRST = "-first";
+    private static final String AGAIN = "-again";
 
     private final Rig rig;
-    private final List<Seen> seen = new CopyOnWriteArrayList<>();
-    private final Map<String, Double> firstRun = new ConcurrentHashMap<>(); // by key
-    private volatile boolean told; // the first call has been told to wait
-    private volatile int callsOfFirst; // calls with m1
-    private volatile boolean turnedAway; // the call with m2 whose connection was late
+    private final Map<String, List<String>> runs = new ConcurrentHashMap<>(); // by message: under which ids it ran
+    private final Map<String, Integer> answers = new ConcurrentHashMap<>();
+    private volatile boolean told; // the partner is above its limit, and has told the first call to wait
+    private volatile long mostDisk;
 
     private Case3(Rig rig) {
         this.rig = rig;
@@ -48,106 +50,126 @@
         Rig.main(Path.of(args[0]), rig -> new Case3(rig).play());
     }
 
-    /** Runs a message, unless its key is still remembered. */
-    private void run(String key, String message) {
-        double at = rig.now();
-        Double first = firstRun.putIfAbsent(key, at);
-        boolean ran = first == null || at - first > WINDOW_MS + SLACK_MS;
-        seen.add(new Seen(at, message, ran));
-        rig.note("endpoint: %s %s", message, first == null ? "RUN"
-                : String.format(Locale.ROOT, "%s, %.0f ms after it ran", ran ? "RUN AGAIN" : "repeat dropped", at - first));
+    private byte[] body(String message) {
+        byte[] body = new byte[BODY];
+        Arrays.fill(body, (byte) '.');
+        byte[] name = (message + " ").getBytes(StandardCharsets.US_ASCII);
+        System.arraycopy(name, 0, body, 0, name.length);
+        return body;
     }
 
-    private void handle(Rig.Request request) throws Exception {
-        String ok = String.format(Locale.ROOT, LOAD, 0.5);
-        if (request.target.equals("/receive-many")) {
-            request.answer(200, ok, runMany(request.text()));
-            return;
+    private int play() throws Exception {
+        Rig.Server server = rig.new Server(0, this::handle);
+        Rig.Server other = rig.new Server(0, request -> request.answer(200));
+        Rig.Platform platform = rig.new Platform(
+                new Rig.Listed("s-1", server.hostPort(), "here", "large", 7, "up"),
+                new Rig.Listed("s-2", other.hostPort(), "here", "small", 8, "up"));
+        Rig.Relay a = rig.new Relay("n0", platform, String.format(SETTINGS, 0));
+        Rig.Relay b = rig.new Relay("n1", platform, String.format(SETTINGS, 1));
+        a.launch(platform.list());
+        b.launch(platform.list());
+        a.awaitReady();
+        b.awaitReady();
+        rig.sleep(300);
+        Rig.daemon(() -> watchFolder(a));
+
+        for (int i = 0; i < USUAL_MESSAGES; i++) {
+            a.submit("u" + i, "order", 8, null, TIME_MS, "", "usual".getBytes(StandardCharsets.US_ASCII));
         }
-        String message = request.header("request-id");
-        String key = request.header("idempotency-key");
-        if (message.equals("m0") && !told) {
-            tellToWait(request, message, 1000);
-            told = true;
-        } else if (message.equals("m1") && callsOfFirst == 0) {
-            callsOfFirst++;
-            run(key, message);
-            rig.sleep(RESET_AFTER_MS);
-            rig.note("endpoint: the connection of %s is reset, its answer is lost", message);
-            request.reset();
-        } else if (message.equals("m1") && callsOfFirst == 1 && rig.now() - firstRun.get(key) < WINDOW_MS) {
-            callsOfFirst++;
-            tellToWait(request, message, firstRun.get(key) + WINDOW_MS - 100 - rig.now());
-        } else if (message.equals("m2") && !turnedAway) {
-            turnedAway = true;
-            request.answer(503, String.format(Locale.ROOT, LOAD, 0.0), "");
-            rig.note("endpoint: %s turned away", message);
-        } else {
-            run(key, message);
-            request.answer(200, ok, "");
+        rig.note("%d usual messages for another partner handed in", USUAL_MESSAGES);
+        int first = a.submit("m0", "order", 7, null, TIME_MS, "", "m0 ".getBytes(StandardCharsets.US_ASCII));
+        if (first != 202 || !rig.await(1000, () -> told)) {
+            rig.note("the first message did not come");
+            return Rig.NOT_RUN;
         }
-    }
-
-    private void tellToWait(Rig.Request request, String message, double ms) throws Exception {
-        request.answer(429, String.format(Locale.ROOT, LOAD + "Retry-After: %.3f\r\n", 0.0, ms / 1000), "");
-        rig.note("endpoint: %s told to wait %.0f ms", message, ms);
-    }
-
-    private String runMany(String text) {
-        StringBuilder results = new StringBuilder();
-        int at = 0;
-        while (at < text.length()) {
-            int end = text.indexOf("\r\n", at);
-            String[] words = text.substring(at, end).split(" ");
-            run(words[1], words[0]);
-            results.append(words[0]).append(" ok\r\n");
-            at = end + 2 + Integer.parseInt(words[2]) + 2;
+        double sentAt = rig.now();
+        handInClump(a);
+        int taken = (int) answers.values().stream().filter(status -> status == 202).count();
+        rig.note("clients: %d messages of %d bytes at once, answers %s", MESSAGES, BODY, new TreeMap<>(answers));
+        rig.note("%d taken on; folder of n0: %d bytes", taken, a.diskBytes());
+        int killAt = Math.max(1, taken - 23); // by then the relay still holds more than its store has room for
+        Set<String> handedBack = new HashSet<>();
+        boolean killed = false;
+        while (rig.now() - sentAt < TIME_MS + 500) {
+            for (Rig.Notice notice : platform.notices()) {
+                boolean back = notice.message().endsWith(FIRST) && notice.outcome().equals("handed_back");
+                if (back && handedBack.add(notice.message())) {
+                    String message = notice.message().replace(FIRST, "");
+                    double waitMs = notice.retryInMs() + 200;
+                    Rig.daemon(() -> handInAgain(b, message, sentAt, waitMs));
+                }
+            }
+            if (rig.trouble && !killed && handedBack.size() >= killAt) {
+                killed = true;
+                a.kill();
+                rig.note("%d messages handed back so far; folder of n0: %d bytes", handedBack.size(), a.diskBytes());
+                rig.sleep(DOWN_MS);
+                a.launch(platform.list());
+            }
+            rig.sleep(1);
         }
-        return results.toString();
+        rig.note("folder of n0: %d bytes at most, %d are allowed", mostDisk, DISK_MB * 1_048_576);
+        Map<String, List<String>> twice = new TreeMap<>(runs);
+        twice.values().removeIf(ids -> ids.size() < 2);
+        rig.note("%d messages were handed back, %d ran, %d of them more than once: %s",
+                handedBack.size(), runs.size(), twice.size(), twice);
+        return twice.isEmpty() ? Rig.HELD : Rig.BROKEN;
     }
 
-    private int play() throws Exception {
-        Rig.SlowDoor server = rig.new SlowDoor(this::handle);
-        Rig.Platform platform = rig.new Platform(new Rig.Listed("s-1", server.hostPort(), "here", "large", 7, "up"));
-        Rig.Relay relay = rig.new Relay("n0", platform, SETTINGS);
-        relay.launch(platform.list());
-        relay.awaitReady();
-        rig.sleep(300);
-
-        double sentAt = rig.now();
-        if (submit(relay, "m0", 200) != 202 || !rig.await(1000, () -> told)) {
-            return Rig.NOT_RUN;
+    /** The partner's endpoint: runs whatever comes, since nothing tells a repeat of this class. */
+    private void handle(Rig.Request request) throws Exception {
+        String message = request.text().substring(0, request.text().indexOf(' '));
+        if (!told) {
+            request.answer(429, "Server-Load: {\"x0\":0.0,\"x1\":25}\r\nRetry-After: 1.000\r\n", "");
+            rig.note("endpoint: %s told to wait 1 s", message);
+            told = true;
+            return;
         }
+        List<String> ids = runs.computeIfAbsent(message, m -> new CopyOnWriteArrayList<>());
+        ids.add(request.header("request-id"));
+        rig.note("endpoint: %s RUN%s, as %s", message, ids.size() > 1 ? " AGAIN" : "", request.header("request-id"));
         rig.sleep(100);
-        if (submit(relay, "m1", BODY) != 202 || submit(relay, "m2", BODY) != 202) {
-            return Rig.NOT_RUN;
-        }
-        if (rig.trouble) {
-            server.shut(); // what is opened from now on comes up late
+        request.answer(200, "Server-Load: {\"x0\":0.5,\"x1\":25}\r\n", "");
+    }
+
+    /** Hands in all messages at once, each on its own connection; their last bytes come together. */
+    private void handInClump(Rig.Relay relay) throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < MESSAGES; i++) {
+            Socket socket = relay.connect();
+            sockets.add(socket);
+            byte[] all = relay.request("x" + i + FIRST, "order", 7, null, TIME_MS, "", body("x" + i));
+            socket.getOutputStream().write(all, 0, all.length - 1);
         }
-        if (!rig.await(3000, () -> !firstRun.isEmpty())) {
-            rig.note("no message came after the wait");
-            return Rig.NOT_RUN;
+        rig.sleep(50);
+        for (Socket socket : sockets) {
+            socket.getOutputStream().write('.');
         }
-        rig.sleep(500);
-        if (rig.trouble) {
-            server.open();
+        for (int i = 0; i < MESSAGES; i++) {
+            answers.put("x" + i, relay.answer(sockets.get(i), 400));
+            sockets.get(i).close();
         }
-        rig.sleep(TIME_MS + 500 - (rig.now() - sentAt));
-        boolean broken = false;
-        for (String message : List.of("m0", "m1", "m2")) {
-            List<Seen> runs = seen.stream().filter(s -> s.ran() && s.message().equals(message)).toList();
-            rig.note("%s ran %d times: %s", message, runs.size(), runs);
-            broken |= runs.size() > 1;
+    }
+
+    private void handInAgain(Rig.Relay relay, String message, double sentAt, double waitMs) {
+        try {
+            rig.sleep(waitMs);
+        } catch (InterruptedException e) {
+            return;
         }
-        return broken ? Rig.BROKEN : Rig.HELD;
+        long leftMs = TIME_MS - (long) (rig.now() - sentAt);
+        int status = relay.submit(message + AGAIN, "order", 7, null, leftMs, "Client-Retry: 1\r\n", body(message));
+        rig.note("client: %s handed in again at n1, answer %d", message, status);
     }
 
-    private int submit(Rig.Relay relay, String message, int bytes) {
-        byte[] body = new byte[bytes];
-        Arrays.fill(body, (byte) '.');
-        int status = relay.submit(message, "licence", 7, "k" + message, TIME_MS, "", body);
-        rig.note("client: %s, %d bytes, answer %d", message, bytes, status);
-        return status;
+    private void watchFolder(Rig.Relay relay) {
+        try {
+            while (true) {
+                mostDisk = Math.max(mostDisk, relay.diskBytes());
+                rig.sleep(1);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/review/standin/review/Rig.java
+++ b/review/standin/review/Rig.java
@@ -270,89 +270,6 @@
         }
     }
 
-    /** A server whose new connections can be made to come up late: while it is shut, its queue of connections is full. */
-    final class SlowDoor implements Closeable {
-        private final ServerSocket listener = new ServerSocket();
-        private final Handler handler;
-        private final List<Socket> fillers = new ArrayList<>();
-        private volatile boolean shut;
-
-        SlowDoor(Handler handler) throws IOException {
-            this.handler = handler;
-            listener.bind(new InetSocketAddress(LOOPBACK, 0), 1);
-            servers.add(this);
-            daemon(this::accept);
-        }
-
-        String hostPort() {
-            return "127.0.0.1:" + listener.getLocalPort();
-        }
-
-        private void accept() {
-            while (true) {
-                try {
-                    Socket socket = listener.accept();
-                    while (shut) {
-                        sleep(1);
-                    }
-                    socket.setTcpNoDelay(true);
-                    daemon(() -> serve(socket));
-                } catch (IOException | InterruptedException e) {
-                    return;
-                }
-            }
-        }
-
-        private void serve(Socket socket) {
-            try (socket) {
-                InputStream in = new BufferedInputStream(socket.getInputStream());
-                for (Request next = read(in, socket); next != null; next = read(in, socket)) {
-                    handler.handle(next);
-                }
-            } catch (SocketException e) {
-                // ended by the peer, or at the end
-            } catch (Exception e) {
-                note("stand-in at %s: %s", hostPort(), e);
-            }
-        }
-
-        /** From now on connections wait: this stops accepting, and its queue is filled. */
-        void shut() throws Exception {
-            shut = true;
-            int failed = 0;
-            while (failed < 2 && fillers.size() < 16) {
-                Socket filler = new Socket();
-                fillers.add(filler);
-                try {
-                    filler.connect(listener.getLocalSocketAddress(), 100);
-                    sleep(20); // the first one is accepted, and the others wait behind it
-                } catch (IOException e) {
-                    failed++; // the queue is full
-                }
-            }
-            note("endpoint: connections come up late from now on");
-        }
-
-        /** Accepts again; what waits comes up when the system of the one who connects tries again. */
-        void open() throws IOException {
-            closeFillers();
-            note("endpoint: connections come up again");
-        }
-
-        private void closeFillers() throws IOException {
-            for (Socket filler : fillers) {
-                filler.close();
-            }
-            shut = false;
-        }
-
-        @Override
-        public void close() throws IOException {
-            closeFillers();
-            listener.close();
-        }
-    }
-
     private static Request read(InputStream in, Socket socket) throws IOException {
         String start = line(in);
         if (start == null || start.isEmpty()) {
@@ -658,6 +575,14 @@
         return all;
     }
 
+    /** Kills a process that only waits, so that the next kill comes without delay. */
+    void practiceKill() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            Process waiting = new ProcessBuilder("sleep", "5").start();
+            waiting.destroyForcibly().waitFor();
+        }
+    }
+
     /** The command {@code run} of the deploy file. */
     private String runCommand() throws IOException {
         Matcher found = Pattern.compile("(?m)^run = \"((?:[^\"\\\\]|\\\\.)*)\"")
