Review case 1: a torn write turns a message's body into store records

Cause: behind a record that it can't read, Records.read tries every byte, so also those inside the body of a record that a kill cut off. What has a marker, a length and a checksum there counts as the relay's own.

Change: a test with stand-ins of its own in review/; nothing is mended.

--- a/review/standin/review/Case1.java
+++ b/review/standin/review/Case1.java
@@ -1,40 +1,51 @@
 package review;
 
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.File;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.zip.CRC32C;
 
 /**
- * A keyed message, whose repeats are dropped within one zone only, runs at an endpoint of its zone, and the answer is
- * lost. The endpoint is drained and gone, the relay is restarted, and the other zone gets the message.
+ * A relay is killed in the middle of a write to its store. The body of the message that was cut off holds bytes in the
+ * form of the store's records. The next process reads them as records: by them other clients' messages are over, and a
+ * message is there that nobody handed in.
  */
 final class Case1 {
-    private static final String SETTINGS = "{\"groupSize\":1,\"slotNo\":0,\"az\":0,\"azs\":[\"north\",\"south\"],"
-            + "\"discovery\":\"ask\",\"quantum\":5.0,\"weightKind\":\"rough\",\"shapes\":[\"partner\"],\"classes\":["
-            + Rig.messageClass("event", "dedup", "zone", 10_000, 3_000, 16_000) + "],"
-            + "\"familyInfo\":{\"bundleMax\":[1],\"kindApart\":[true],\"late\":\"halving\",\"maxCalls\":8},"
-            + "\"loadReport\":{\"how\":\"none\",\"names\":[]},"
-            + "\"limits\":{\"cancelling\":true,\"connIdle\":15000.0,\"connectTimeout\":1500.0,\"maxAttempts\":12,"
-            + "\"maxOpen\":60,\"maxRetryAfter\":2000.0,\"retryAfter\":true,\"multiplex\":8,\"mayDuplicate\":false},"
-            + "\"safety\":{\"answerSlack\":20.0,\"askEvery\":10000.0,\"drainGrace\":250.0,\"fallMultiple\":2.0,"
-            + "\"overloadFor\":3000.0,\"startCapacity\":0.23,\"warmAfter\":13000.0}}";
-    private static final int[] PARTNERS = {7, 8, 9};
-    private static final long TIME_MS = 16_000;
-    private static final double DRAIN_MS = 2_000;
-    private static final double REPLACED_MS = 4_900;
+    private static final String SETTINGS = "{\"groupSize\":1,\"slotNo\":0,\"az\":0,\"azs\":[\"here\"],"
+            + "\"discovery\":\"ask\",\"quantum\":5.0,\"weightKind\":\"none\",\"shapes\":[\"partner\"],\"classes\":["
+            + Rig.messageClass("notice", "retryable", "all", 0, 800, 5_000) + "],"
+            + "\"familyInfo\":{\"bundleMax\":[1],\"kindApart\":[false],\"late\":\"halving\",\"maxCalls\":13},"
+            + "\"loadReport\":{\"how\":\"answers\",\"names\":[\"x0\",\"x1\"]},"
+            + "\"limits\":{\"cancelling\":true,\"connIdle\":10000.0,\"connectTimeout\":1000.0,\"maxAttempts\":6,"
+            + "\"maxOpen\":208,\"maxRetryAfter\":3000.0,\"retryAfter\":false,\"multiplex\":1,\"mayDuplicate\":false},"
+            + "\"safety\":{\"answerSlack\":20.0,\"askEvery\":10000.0,\"drainGrace\":1000.0,\"fallMultiple\":1.5,"
+            + "\"overloadFor\":2000.0,\"startCapacity\":0.26,\"warmAfter\":10000.0}}";
+    private static final int USUAL = 5; // messages of usual clients
+    private static final int LARGE = 18; // messages of the client whose bodies hold such bytes
+    private static final int BODY = 65_536;
+    private static final long TIME_MS = 5_000;
+    private static final double DUE_MS = 350; // a message is lost 300 ms after its time, and 50 ms for sockets
+    private static final double READY_MS = 1_500; // no notice is overdue until so long after the relay is ready again
     private static final double DOWN_MS = 600;
-
-    /** The message ran there, and was not dropped as a repeat. */
-    private record Effect(double at, String endpoint, String zone) {}
+    private static final int PLAYS = 12; // the kill does not always come in the middle of the write
+    private static final String FORGED = "never-handed-in";
 
     private final Rig rig;
-    private final Map<String, List<Effect>> effects = new ConcurrentHashMap<>(); // by key
-    private final Map<String, Boolean> seen = new ConcurrentHashMap<>(); // by partner, zone and key
-    private final AtomicInteger answersLost = new AtomicInteger();
+    private final boolean plain = "plain".equals(System.getenv("TROUBLE")); // bodies without such bytes
+    private final Set<String> handedIn = ConcurrentHashMap.newKeySet();
+    private final Map<String, Double> delivered = new ConcurrentHashMap<>();
+    private volatile boolean aboveLimit;
 
     private Case1(Rig rig) {
         this.rig = rig;
@@ -44,95 +55,147 @@
         Rig.main(Path.of(args[0]), rig -> new Case1(rig).play());
     }
 
-    /** An endpoint: runs a message, unless its zone has seen the key; the first answer of those in the north is lost. */
-    private Rig.Server endpoint(String id, int partner, String zone, boolean losesAnswer) throws Exception {
-        AtomicInteger calls = new AtomicInteger();
-        return rig.new Server(0, request -> {
-            String key = request.header("idempotency-key");
-            boolean first = seen.putIfAbsent(partner + zone + key, true) == null;
-            if (first) {
-                List<Effect> all = effects.computeIfAbsent(key, k -> new ArrayList<>());
-                synchronized (all) {
-                    all.add(new Effect(rig.now(), id, zone));
-                }
-            }
-            boolean lost = losesAnswer && calls.getAndIncrement() == 0;
-            rig.note("endpoint %s (%s): %s, key %s: %s, %s", id, zone, request.header("request-id"), key,
-                    first ? "RUN" : "repeat dropped", lost ? "answer lost" : "200");
-            if (lost) {
-                rig.sleep(100); // the list changes meanwhile
-                answersLost.incrementAndGet();
-                request.reset();
-            } else {
-                request.answer(200);
+    // ---- bytes in the form of the store's records; see Records ----
+
+    private static byte[] record(byte[] content) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(content);
+        return ByteBuffer.allocate(10 + content.length)
+                .putShort((short) 0xF1A1)
+                .putInt(content.length)
+                .putInt((int) checksum.getValue())
+                .put(content)
+                .array();
+    }
+
+    private static byte[] over(long id) {
+        return record(ByteBuffer.allocate(9).put((byte) 4).putLong(id).array());
+    }
+
+    private static byte[] taken(long id, String requestId) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(0);
+        out.writeLong(id);
+        out.writeUTF(requestId);
+        out.writeUTF("notice");
+        out.writeInt(7);
+        out.writeBoolean(false);
+        out.writeUTF("");
+        out.writeLong(System.nanoTime() / 1_000_000 + TIME_MS);
+        out.writeBoolean(false);
+        out.writeBoolean(false);
+        byte[] body = "nobody sent this".getBytes(StandardCharsets.US_ASCII);
+        out.writeInt(body.length);
+        out.write(body);
+        return record(bytes.toByteArray());
+    }
+
+    /** A body that says again and again that the first messages are over, and that another one was taken on. */
+    private byte[] body() throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (!plain && all.size() < BODY) {
+            for (long id = 0; id < USUAL + LARGE; id++) {
+                all.write(over(id));
             }
-        });
+            all.write(taken(1_000_000, FORGED));
+        }
+        return Arrays.copyOf(all.toByteArray(), BODY);
     }
 
+    // ---- the play ----
+
     private int play() throws Exception {
-        List<Rig.Listed> north = new ArrayList<>();
-        List<Rig.Listed> all = new ArrayList<>();
-        for (int partner : PARTNERS) {
-            Rig.Server n = endpoint("s-" + partner + "n", partner, "north", true);
-            Rig.Server s = endpoint("s-" + partner + "s", partner, "south", false);
-            north.add(new Rig.Listed("s-" + partner + "n", n.hostPort(), "north", "partner", partner, "up"));
-            all.add(new Rig.Listed("s-" + partner + "s", s.hostPort(), "south", "partner", partner, "up"));
+        Rig.Server server = rig.new Server(0, this::handle);
+        Rig.Platform platform = rig.new Platform(new Rig.Listed("s-1", server.hostPort(), "here", "partner", 7, "up"));
+        rig.practiceKill();
+        for (int play = 0; play < (rig.trouble ? PLAYS : 1); play++) {
+            if (!keeps(play, platform)) {
+                return Rig.BROKEN;
+            }
         }
-        all.addAll(north);
-        Rig.Platform platform = rig.new Platform(all.toArray(Rig.Listed[]::new));
-        Rig.Relay relay = rig.new Relay("n0", platform, SETTINGS);
+        return Rig.HELD;
+    }
+
+    /** Plays once, with a relay of its own; false if a message was lost or forged. */
+    private boolean keeps(int play, Rig.Platform platform) throws Exception {
+        Rig.Relay relay = rig.new Relay("n" + play, platform, SETTINGS);
+        aboveLimit = true;
         relay.launch(platform.list());
         relay.awaitReady();
-        rig.sleep(300); // the watch is open
-
+        rig.sleep(300);
         double sentAt = rig.now();
-        for (int partner : PARTNERS) {
-            int status = relay.submit("m" + partner, "event", partner, "k" + partner, TIME_MS, "",
-                    ("message for " + partner).getBytes(StandardCharsets.US_ASCII));
-            rig.note("client: m%d for partner %d, answer %d", partner, partner, status);
-            if (status != 202) {
-                return Rig.NOT_RUN;
+        List<String> taken = new ArrayList<>();
+        for (int i = 0; i < USUAL; i++) {
+            String id = "p" + play + "-usual" + i;
+            handedIn.add(id);
+            int status = relay.submit(id, "notice", 7, null, TIME_MS, "", id.getBytes(StandardCharsets.US_ASCII));
+            rig.note("client: %s, answer %d", id, status);
+            if (status == 202) {
+                taken.add(id);
             }
+            rig.sleep(20);
         }
-        if (!rig.await(300, () -> effects.size() == PARTNERS.length)) {
-            rig.note("not all messages were called in time");
-            return Rig.NOT_RUN;
-        }
+        File store = relay.state().toFile().listFiles()[0];
+        long before = store.length();
+        handInLarge(play, relay);
         if (rig.trouble) {
-            platform.change(in("draining", north));
-            rig.await(1_000, () -> answersLost.get() == PARTNERS.length);
-            rig.sleep(DRAIN_MS);
-            platform.change(in("removed", north));
-            double goneAt = rig.now();
-            rig.sleep(400);
-            if (!"replace".equals(System.getenv("TROUBLE"))) {
-                relay.kill();
-                String lastHeld = platform.list();
-                rig.sleep(DOWN_MS);
-                relay.launch(lastHeld);
-                relay.awaitReady();
+            double end = rig.now() + 300;
+            while (store.length() < before + 200_000 && rig.now() < end) {
+                Thread.onSpinWait(); // until the relay is writing them
             }
-            rig.sleep(REPLACED_MS - (rig.now() - goneAt));
-            List<Rig.Listed> replacements = new ArrayList<>();
-            for (int partner : PARTNERS) {
-                String id = "s-" + partner + "m";
-                replacements.add(new Rig.Listed(
-                        id, endpoint(id, partner, "north", false).hostPort(), "north", "partner", partner, "up"));
-            }
-            platform.change(in("up", replacements));
+            relay.kill();
+            rig.note("store: %d bytes before, %d after the kill", before, store.length());
+        }
+        aboveLimit = false;
+        if (rig.trouble) {
+            rig.sleep(DOWN_MS);
+            relay.launch(platform.list());
+            relay.awaitReady();
         }
-        rig.sleep(TIME_MS + 500 - (rig.now() - sentAt));
-        boolean broken = false;
-        for (Map.Entry<String, List<Effect>> entry : effects.entrySet()) {
-            rig.note("key %s ran %d times: %s", entry.getKey(), entry.getValue().size(), entry.getValue());
-            broken |= entry.getValue().size() > 1;
+        double due = Math.max(sentAt + TIME_MS + DUE_MS, rig.now() + READY_MS);
+        rig.await(due - rig.now(), () -> taken.stream().allMatch(id -> ended(id, platform)));
+        List<String> lost = taken.stream().filter(id -> !ended(id, platform)).toList();
+        List<String> forged = delivered.keySet().stream().filter(id -> !handedIn.contains(id)).toList();
+        rig.note("play %d: %d messages of usual clients were taken on; neither delivered nor ended by a notice: %s",
+                play, taken.size(), lost);
+        rig.note("play %d: delivered though no client handed them in: %s", play, forged);
+        relay.kill();
+        return lost.isEmpty() && forged.isEmpty();
+    }
+
+    private void handInLarge(int play, Rig.Relay relay) throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        byte[] body = body();
+        for (int i = 0; i < LARGE; i++) {
+            String id = "p" + play + "-large" + i;
+            handedIn.add(id);
+            Socket socket = relay.connect();
+            sockets.add(socket);
+            byte[] all = relay.request(id, "notice", 7, null, TIME_MS, "", body);
+            socket.getOutputStream().write(all, 0, all.length - 1);
+        }
+        rig.sleep(50);
+        for (Socket socket : sockets) {
+            socket.getOutputStream().write(body[BODY - 1]);
+        }
+        rig.note("clients: %d messages of %d bytes handed in at once", LARGE, BODY);
+    }
+
+    private void handle(Rig.Request request) throws Exception {
+        String id = request.header("request-id");
+        if (aboveLimit) {
+            request.answer(429, "Server-Load: {\"x0\":0.0,\"x1\":20}\r\nRetry-After: 2.000\r\n", "");
+            rig.note("endpoint: %s told to wait 2 s", id);
+            return;
         }
-        return broken ? Rig.BROKEN : Rig.HELD;
+        delivered.put(id, rig.now());
+        rig.note("endpoint: %s RUN%s", id, handedIn.contains(id) ? "" : ", though no client handed it in");
+        request.answer(handedIn.contains(id) ? 200 : 400);
     }
 
-    private static Rig.Listed[] in(String state, List<Rig.Listed> listed) {
-        return listed.stream()
-                .map(e -> new Rig.Listed(e.id(), e.address(), e.zone(), e.kind(), e.cell(), state))
-                .toArray(Rig.Listed[]::new);
+    private boolean ended(String id, Rig.Platform platform) {
+        return delivered.containsKey(id)
+                || platform.notices().stream().anyMatch(notice -> notice.message().equals(id));
     }
 }
