--- a/review/standin/review/Case2.java
+++ b/review/standin/review/Case2.java
@@ -34,6 +34,7 @@
     private final Rig rig;
     private final Map<String, List<Effect>> effects = new ConcurrentHashMap<>(); // by key
     private final Map<String, Boolean> seen = new ConcurrentHashMap<>(); // by partner, zone and key
+    private volatile boolean draining; // the endpoints of the north
     private final AtomicInteger answersLost = new AtomicInteger();
 
     private Case2(Rig rig) {
@@ -49,6 +50,11 @@
         AtomicInteger calls = new AtomicInteger();
         return rig.new Server(0, request -> {
             String key = request.header("idempotency-key");
+            if (losesAnswer && draining) {
+                rig.note("endpoint %s (%s): %s, key %s: turned away, draining", id, zone, request.header("request-id"), key);
+                request.answer(503);
+                return;
+            }
             boolean first = seen.putIfAbsent(partner + zone + key, true) == null;
             if (first) {
                 List<Effect> all = effects.computeIfAbsent(key, k -> new ArrayList<>());
@@ -70,10 +76,12 @@
     }
 
     private int play() throws Exception {
+        List<Rig.Server> servers = new ArrayList<>(); // of the north
         List<Rig.Listed> north = new ArrayList<>();
         List<Rig.Listed> all = new ArrayList<>();
         for (int partner : PARTNERS) {
             Rig.Server n = endpoint("s-" + partner + "n", partner, "north", true);
+            servers.add(n);
             Rig.Server s = endpoint("s-" + partner + "s", partner, "south", false);
             north.add(new Rig.Listed("s-" + partner + "n", n.hostPort(), "north", "partner", partner, "up"));
             all.add(new Rig.Listed("s-" + partner + "s", s.hostPort(), "south", "partner", partner, "up"));
@@ -99,9 +107,13 @@
             return Rig.NOT_RUN;
         }
         if (rig.trouble) {
+            draining = true;
             platform.change(in("draining", north));
             rig.await(1_000, () -> answersLost.get() == PARTNERS.length);
             rig.sleep(DRAIN_MS);
+            for (Rig.Server server : servers) {
+                server.close();
+            }
             platform.change(in("removed", north));
             double goneAt = rig.now();
             rig.sleep(400);
@@ -122,6 +134,7 @@
             platform.change(in("up", replacements));
         }
         rig.sleep(TIME_MS + 500 - (rig.now() - sentAt));
+        relay.checkAlive();
         boolean broken = false;
         for (Map.Entry<String, List<Effect>> entry : effects.entrySet()) {
             rig.note("key %s ran %d times: %s", entry.getKey(), entry.getValue().size(), entry.getValue());
