Bytes in a body are never taken for records of the store

Cause: the reader looked for records at every byte behind an unreadable one, so also in the body of a cut-off record. A body may hold any bytes, and neither mark nor checksum holds a secret. Change: DelimiterFraming puts records between zero bytes and keeps zero bytes out of them (COBS), so nothing inside a record has the form of one. Files of earlier versions are read with LengthFraming, which drops a message that is cut off at the end whole; they are written anew at the start. The voters' ledger keeps LengthFraming: clients' bytes reach it as UTF-8 only (new test, passed at once). Tests that wrote or spoilt records by hand follow the framing; what they check is unchanged.

--- a/src/main/java/firstair/relay/store/LedgerFile.java
+++ b/src/main/java/firstair/relay/store/LedgerFile.java
@@ -17,7 +17,7 @@
 import java.util.logging.Logger;
 
 /**
- * The persistent state of a voter, in one append-only file: records in the format of {@link Store}'s file, each with
+ * The persistent state of a voter, in one append-only file: records in {@link LengthFraming}, each with
  * one change of its {@link LedgerState}. When the file exceeds its size limit and twice the size of its live records,
  * the live records are written to a new file that replaces it.
  *
@@ -127,16 +127,16 @@
         byte[] all = Files.readAllBytes(named);
         List<byte[]> changes = new ArrayList<>();
         int at = 0;
-        for (int length = 0; at < all.length; at += Records.HEADER + length) {
-            length = Records.validLength(all, at);
+        for (int length = 0; at < all.length; at += LengthFraming.HEADER + length) {
+            length = LengthFraming.validLength(all, at);
             if (length < 0) {
                 break;
             }
             byte[] change = new byte[length];
-            System.arraycopy(all, at + Records.HEADER, change, 0, length);
+            System.arraycopy(all, at + LengthFraming.HEADER, change, 0, length);
             changes.add(change);
         }
-        if (at < all.length && (!Records.isTruncatedRecord(all, at) || anyRecordAfter(all, at))) {
+        if (at < all.length && (!LengthFraming.isTruncatedRecord(all, at) || anyRecordAfter(all, at))) {
             throw new Fault.TornLedger(named.toString(), at);
         }
         try {
@@ -153,14 +153,14 @@
         file.force(true);
         size = at;
         liveBytes = memory.changes().stream()
-                .mapToLong(c -> Records.HEADER + c.length)
+                .mapToLong(c -> LengthFraming.HEADER + c.length)
                 .sum();
     }
 
     /** Whether a valid record follows an offset: then the bytes at the offset were not the last ones written. */
     private static boolean anyRecordAfter(byte[] all, int at) {
         for (int i = at + 1; i < all.length; i++) {
-            if (Records.validLength(all, i) >= 0) {
+            if (LengthFraming.validLength(all, i) >= 0) {
                 return true;
             }
         }
@@ -180,9 +180,7 @@
     @Override
     public void append(byte[] change) throws IOException {
         checkUsable();
-        byte[] record = new byte[Records.HEADER + change.length];
-        System.arraycopy(change, 0, record, Records.HEADER, change.length);
-        pending.writeBytes(Records.withHeader(record));
+        pending.writeBytes(LengthFraming.INSTANCE.frame(change));
     }
 
     @Override
--- a/src/main/java/firstair/relay/store/Records.java
+++ b/src/main/java/firstair/relay/store/Records.java
@@ -6,16 +6,12 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
-import java.util.zip.CRC32C;
 
-/**
- * The file format: records, each with a marker, the length of its content, a checksum and the content. The marker lets
- * a reader find the next valid record after a damaged one.
- */
+/** The contents of the records in a file; {@link Framing} tells how they follow each other. */
 final class Records {
-    static final int HEADER = 10;
-    private static final short MARK = (short) 0xF1A1;
+    private static final int MAX_TEXT_BYTES = 48 * 1024; // of the longest head of a request, with three bytes for each
 
     /** Receives the decoded records. */
     interface Reader {
@@ -32,9 +28,6 @@
         void clock(StoredTimes.ClockReading mark);
     }
 
-    /** What was found besides valid records: damaged places, and bytes of an incomplete record at the end. */
-    record ReadResult(int damaged, int truncatedBytes) {}
-
     private enum Type {
         TAKEN,
         CALLED,
@@ -107,86 +100,18 @@
     private static byte[] record(Type type, long id, Content content) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
-            out.write(new byte[HEADER]);
             out.writeByte(type.ordinal());
             out.writeLong(id);
             content.write(out);
         } catch (IOException e) {
             throw new UncheckedIOException(e); // in-memory stream: only a string that exceeds the limit of writeUTF
         }
-        return withHeader(bytes.toByteArray());
-    }
-
-    /** Writes marker, length and checksum into the first {@link #HEADER} bytes of a record, reserved for them. */
-    static byte[] withHeader(byte[] all) {
-        ByteBuffer.wrap(all)
-                .putShort(MARK)
-                .putInt(all.length - HEADER)
-                .putInt(checksum(all, HEADER, all.length - HEADER));
-        return all;
-    }
-
-    private static int checksum(byte[] bytes, int offset, int length) {
-        CRC32C crc = new CRC32C();
-        crc.update(bytes, offset, length);
-        return (int) crc.getValue();
-    }
-
-    /** Reads all valid records; skips damaged ones and drops an incomplete one at the end. */
-    static ReadResult read(byte[] file, Reader reader) {
-        int damaged = 0;
-        int at = 0;
-        int bad = -1; // start of unreadable bytes, or -1
-        while (at < file.length) {
-            int length = validLength(file, at);
-            if (length < 0) {
-                bad = bad < 0 ? at : bad;
-                at++;
-                continue;
-            }
-            if (bad >= 0) {
-                damaged++;
-                bad = -1;
-            }
-            if (!readContent(file, at + HEADER, length, reader)) {
-                damaged++; // valid checksum, but unknown content
-            }
-            at += HEADER + length;
-        }
-        return new ReadResult(damaged, bad < 0 ? 0 : file.length - bad);
-    }
-
-    /** Whether the bytes from an offset on are the beginning of a record whose write was interrupted. */
-    static boolean isTruncatedRecord(byte[] file, int at) {
-        ByteBuffer rest = ByteBuffer.wrap(file, at, file.length - at);
-        if (rest.remaining() < Short.BYTES) {
-            return rest.get() == (byte) (MARK >> 8);
-        }
-        if (rest.getShort() != MARK) {
-            return false;
-        }
-        return rest.remaining() < Integer.BYTES || rest.getInt() > file.length - at - HEADER;
-    }
-
-    /** Length of the content of the record at an offset, or -1 if there is no valid record. */
-    static int validLength(byte[] file, int at) {
-        if (file.length - at < HEADER) {
-            return -1;
-        }
-        ByteBuffer header = ByteBuffer.wrap(file, at, HEADER);
-        if (header.getShort() != MARK) {
-            return -1;
-        }
-        int length = header.getInt();
-        if (length <= 0 || length > file.length - at - HEADER) {
-            return -1;
-        }
-        return header.getInt() == checksum(file, at + HEADER, length) ? length : -1;
+        return bytes.toByteArray();
     }
 
-    /** Decodes one record and passes it to the reader; false if its type or content is unknown. */
-    private static boolean readContent(byte[] file, int at, int length, Reader reader) {
-        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(file, at, length))) {
+    /** Decodes the content of one record and passes it to the reader; false if its type or a field is unknown. */
+    static boolean read(byte[] content, Reader reader) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(content))) {
             int number = in.readByte();
             if (number < 0 || number >= Type.values().length) {
                 return false;
@@ -232,4 +157,48 @@
             return false; // too short for its type, or with an impossible length
         }
     }
+
+    /**
+     * Whether a message whose content has this length is cut off behind these bytes. If they hold all its fields, it
+     * is the length that is wrong.
+     */
+    static boolean isTruncatedMessage(ByteBuffer begin, int length) {
+        int end = begin.position() + length;
+        try {
+            if (begin.get() != Type.TAKEN.ordinal()) {
+                return false;
+            }
+            skip(begin, Long.BYTES);
+            skipText(begin); // request id
+            skipText(begin); // class
+            skip(begin, Integer.BYTES + Byte.BYTES);
+            skipText(begin); // key
+            skip(begin, Long.BYTES + 2 * Byte.BYTES);
+            int bodyBytes = begin.getInt();
+            if (bodyBytes < 0 || bodyBytes > end - begin.position()) {
+                return false;
+            }
+            skip(begin, bodyBytes);
+            skipText(begin); // tenant
+            skipText(begin); // booking
+            return false;
+        } catch (BufferUnderflowException e) {
+            return true;
+        }
+    }
+
+    /** Skips a string, unless it is longer than any that a client can send. */
+    private static void skipText(ByteBuffer bytes) {
+        int length = Short.toUnsignedInt(bytes.getShort());
+        if (length <= MAX_TEXT_BYTES) {
+            skip(bytes, length);
+        }
+    }
+
+    private static void skip(ByteBuffer bytes, int count) {
+        if (count > bytes.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        bytes.position(bytes.position() + count);
+    }
 }
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -24,6 +24,7 @@
  */
 public final class Store {
     private static final Logger LOG = Logger.getLogger(Store.class.getName());
+    private static final Framing FRAMING = DelimiterFraming.INSTANCE;
     private static final long READ_TIMEOUT_MS = 5000; // a relay has to be ready within 10 s
     private static final long READ_RETRY_MS = 50;
     private static final long LOGGED_CLOCK_STEP_MS = 1000;
@@ -62,8 +63,10 @@
             attempts.replaceAll(t -> new StoredAttempt(t.endpoint(), times.sentAt(t.sentAt()), t.maybeRan()));
         }
 
-        private int reservedBytes() {
-            return message.body().length + MAX_BYTES_WITHOUT_BODY + Math.max(ATTEMPTS_RESERVE_BYTES, attemptBytes);
+        private long reservedBytes() {
+            return spaceFor(message.body().length)
+                    - ATTEMPTS_RESERVE_BYTES
+                    + Math.max(ATTEMPTS_RESERVE_BYTES, attemptBytes);
         }
     }
 
@@ -145,7 +148,7 @@
 
     private void load(byte[] file) {
         StoredTimes.ClockReading[] fileClock = new StoredTimes.ClockReading[1];
-        Records.ReadResult found = Records.read(file, new Records.Reader() {
+        Records.Reader reader = new Records.Reader() {
             @Override
             public void accepted(StoredMessage t) {
                 open.put(t.id(), new OpenMessage(t));
@@ -156,7 +159,7 @@
                 OpenMessage o = open.get(id);
                 if (o != null) {
                     o.attempts.add(t);
-                    o.attemptBytes += Records.attemptStarted(id, t).length;
+                    o.attemptBytes += FRAMING.frame(Records.attemptStarted(id, t)).length;
                 }
             }
 
@@ -187,7 +190,8 @@
             public void clock(StoredTimes.ClockReading mark) {
                 fileClock[0] = mark;
             }
-        });
+        };
+        Framing.ReadResult found = Framing.of(file).read(file, content -> Records.read(content, reader));
         StoredTimes times = new StoredTimes(fileClock[0], clock);
         open.values().forEach(o -> o.convertTimes(times));
         if (Math.abs(times.wallStepMs()) >= LOGGED_CLOCK_STEP_MS) {
@@ -214,8 +218,12 @@
 
     /** Whether there is space for one more message with a body of this size. */
     public boolean fits(int bodyBytes) {
-        return !incomplete
-                && reservedBytes + bodyBytes + MAX_BYTES_WITHOUT_BODY + ATTEMPTS_RESERVE_BYTES <= maxFileBytes();
+        return !incomplete && reservedBytes + spaceFor(bodyBytes) <= maxFileBytes();
+    }
+
+    /** Upper bound for the bytes of a message with a body of this size, with its calls and its outcome. */
+    private static long spaceFor(int bodyBytes) {
+        return DelimiterFraming.maxFrameBytes(bodyBytes + MAX_BYTES_WITHOUT_BODY) + ATTEMPTS_RESERVE_BYTES;
     }
 
     /** Records a message that is about to be accepted. */
@@ -223,7 +231,7 @@
         OpenMessage o = new OpenMessage(t);
         open.put(t.id(), o);
         reservedBytes += o.reservedBytes();
-        pending.writeBytes(Records.accepted(t));
+        pending.writeBytes(FRAMING.frame(Records.accepted(t)));
     }
 
     /** Number of recorded calls of a message, -1 if the message is completed. */
@@ -236,7 +244,7 @@
     public int attemptStarted(long id, String endpoint, long sentAt) {
         OpenMessage o = open.get(id);
         StoredAttempt t = new StoredAttempt(endpoint, sentAt, true);
-        byte[] record = Records.attemptStarted(id, t);
+        byte[] record = FRAMING.frame(Records.attemptStarted(id, t));
         reservedBytes -= o.reservedBytes();
         o.attempts.add(t);
         o.attemptBytes += record.length;
@@ -251,7 +259,7 @@
         if (o != null && attempt < o.attempts.size()) {
             StoredAttempt t = o.attempts.get(attempt);
             o.attempts.set(attempt, new StoredAttempt(t.endpoint(), t.sentAt(), maybeRan));
-            pending.writeBytes(Records.attemptEnded(id, attempt, maybeRan));
+            pending.writeBytes(FRAMING.frame(Records.attemptEnded(id, attempt, maybeRan)));
         }
     }
 
@@ -263,7 +271,7 @@
             o.pendingNotice = owed;
             o.message = o.message.withoutBody();
             reservedBytes += o.reservedBytes();
-            pending.writeBytes(Records.pendingNotice(id, owed));
+            pending.writeBytes(FRAMING.frame(Records.pendingNotice(id, owed)));
         }
     }
 
@@ -272,7 +280,7 @@
         OpenMessage o = open.remove(id);
         if (o != null) {
             reservedBytes -= o.reservedBytes();
-            pending.writeBytes(Records.completed(id));
+            pending.writeBytes(FRAMING.frame(Records.completed(id)));
         }
     }
 
@@ -373,15 +381,15 @@
 
     private long writeAll(FileChannel next) throws IOException {
         ByteArrayOutputStream block = new ByteArrayOutputStream();
-        block.writeBytes(Records.clock(StoredTimes.ClockReading.of(clock)));
+        block.writeBytes(FRAMING.frame(Records.clock(StoredTimes.ClockReading.of(clock))));
         long written = 0;
         for (OpenMessage o : open.values()) {
-            block.writeBytes(Records.accepted(o.message));
+            block.writeBytes(FRAMING.frame(Records.accepted(o.message)));
             for (StoredAttempt t : o.attempts) {
-                block.writeBytes(Records.attemptStarted(o.message.id(), t));
+                block.writeBytes(FRAMING.frame(Records.attemptStarted(o.message.id(), t)));
             }
             if (o.pendingNotice != null) {
-                block.writeBytes(Records.pendingNotice(o.message.id(), o.pendingNotice));
+                block.writeBytes(FRAMING.frame(Records.pendingNotice(o.message.id(), o.pendingNotice)));
             }
             if (block.size() >= DISK_RESERVE_BYTES) {
                 write(next, block.toByteArray());
--- /dev/null
+++ b/src/test/java/firstair/relay/store/EarlierFilesTest.java
@@ -0,0 +1,106 @@
+package firstair.relay.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Files that an earlier version has left: relays are upgraded with messages in their folders. */
+class EarlierFilesTest {
+    private static final long DISK = 200_000;
+
+    @TempDir
+    private Path folder;
+
+    private static byte[] earlier(byte[]... contents) {
+        ByteArrayOutputStream file = new ByteArrayOutputStream();
+        file.writeBytes(LengthFraming.INSTANCE.frame(Records.clock(StoredTimes.ClockReading.of(BootClock.SYSTEM))));
+        for (byte[] content : contents) {
+            file.writeBytes(LengthFraming.INSTANCE.frame(content));
+        }
+        return file.toByteArray();
+    }
+
+    private static byte[] accepted(long id, byte[] body) {
+        return Records.accepted(new StoredMessage(id, "r" + id, "order", 7, "k" + id, 1_000, true, false, body));
+    }
+
+    private Store opened(byte[] file) throws IOException {
+        Files.write(folder.resolve("messages-3.log"), file);
+        return Store.open(folder, DISK, BootClock.SYSTEM);
+    }
+
+    private static List<Long> ids(Store store) {
+        return store.open().stream().map(o -> o.message().id()).toList();
+    }
+
+    @Test
+    void everythingPendingIsReadAndKeptByTheNextStarts() throws IOException {
+        byte[] file = earlier(
+                accepted(1, new byte[] {0, 1, 2}),
+                accepted(2, new byte[0]),
+                Records.attemptStarted(1, new StoredAttempt("e1", 5, true)),
+                Records.completed(2),
+                accepted(3, new byte[9]),
+                Records.pendingNotice(3, new PendingNotice(true, 7)));
+        Store first = opened(file);
+        first.close();
+        for (Store store : List.of(first, Store.open(folder, DISK, BootClock.SYSTEM))) {
+            assertThat(ids(store)).containsExactly(1L, 3L);
+            Store.OpenMessage one = store.open().iterator().next();
+            assertThat(one.message().body()).containsExactly(0, 1, 2);
+            assertThat(one.message().key()).isEqualTo("k1");
+            assertThat(one.attempts()).containsExactly(new StoredAttempt("e1", 5, true));
+            assertThat(List.copyOf(store.open()).get(1).pendingNotice()).isEqualTo(new PendingNotice(true, 7));
+        }
+    }
+
+    /** Guards against lost and forged messages where an earlier version was killed during its last write. */
+    @Test
+    void aTornMessageWhoseBodyHoldsRecordsIsDropped() throws IOException {
+        byte[] whole = earlier(accepted(1, new byte[5]));
+        byte[] body = Arrays.copyOf(earlier(Records.completed(1), accepted(99, new byte[5])), 300);
+        byte[] all = earlier(accepted(1, new byte[5]), accepted(2, body));
+        assertDroppedWhereverItIsCut(whole, all);
+    }
+
+    /** The same with a tenant and a booking behind the body, as in a fleet. */
+    @Test
+    void aTornMessageOfATenantIsDropped() throws IOException {
+        byte[] whole = earlier(accepted(1, new byte[5]));
+        byte[] body = earlier(Records.completed(1), accepted(99, new byte[5]));
+        byte[] all = earlier(
+                accepted(1, new byte[5]),
+                Records.accepted(
+                        new StoredMessage(2, "r2", "order", 7, "k2", 1_000, false, false, body, "tenant", "booking")));
+        assertDroppedWhereverItIsCut(whole, all);
+    }
+
+    private void assertDroppedWhereverItIsCut(byte[] whole, byte[] all) throws IOException {
+        for (int cut = whole.length; cut < all.length; cut++) {
+            Path copy = Files.createDirectories(folder.resolve("cut" + cut));
+            Files.write(copy.resolve("messages-3.log"), Arrays.copyOf(all, cut));
+            assertThat(ids(Store.open(copy, DISK, BootClock.SYSTEM)))
+                    .as("cut at %d", cut)
+                    .containsExactly(1L);
+        }
+    }
+
+    @Test
+    void recordsBehindADamagedOneAreKept() throws IOException {
+        byte[] file = earlier(accepted(1, new byte[5]), accepted(2, new byte[5]), accepted(3, new byte[5]));
+        int second = earlier(accepted(1, new byte[5])).length;
+        for (int at = second; at < second + 30; at++) {
+            byte[] damaged = file.clone();
+            damaged[at] ^= 64;
+            assertThat(ids(opened(damaged))).as("damaged at %d", at).containsExactly(1L, 3L);
+            Files.list(folder).forEach(f -> f.toFile().delete());
+        }
+    }
+}
--- a/src/test/java/firstair/relay/store/LedgerFileTest.java
+++ b/src/test/java/firstair/relay/store/LedgerFileTest.java
@@ -15,6 +15,7 @@
 import firstair.fleet.ledger.Outcome;
 import firstair.fleet.talk.Note;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -187,6 +188,26 @@
         }
     }
 
+    /** Names and ids of clients reach the ledger as UTF-8, in which no byte sequence has the form of a record. */
+    @Test
+    void aTruncatedChangeWithTheTextOfARecordDoesNotPreventTheStart() throws IOException {
+        LedgerFile file = fleet();
+        agree(0, 1);
+        byte[] before = Files.readAllBytes(folder.resolve("ledger.log"));
+        String record = new String(before, StandardCharsets.ISO_8859_1); // as a header field with any bytes is read
+        file.append(record.getBytes(StandardCharsets.UTF_8));
+        file.force();
+        file.close();
+        byte[] all = Files.readAllBytes(folder.resolve("ledger.log"));
+        for (int cut = before.length; cut < all.length; cut++) {
+            Files.write(folder.resolve("ledger.log"), Arrays.copyOf(all, cut));
+            open(false).close();
+            assertThat(Files.size(folder.resolve("ledger.log")))
+                    .as("cut at %d", cut)
+                    .isEqualTo(before.length);
+        }
+    }
+
     private static List<String> text(List<byte[]> changes) {
         return changes.stream().map(Arrays::toString).toList();
     }
--- a/src/test/java/firstair/relay/store/StoreClockTest.java
+++ b/src/test/java/firstair/relay/store/StoreClockTest.java
@@ -87,11 +87,11 @@
     void aFileOfAnEarlierVersionHoldsUnixTimes() throws IOException {
         Files.write(
                 folder.resolve("messages-3.log"),
-                Records.accepted(
-                        new StoredMessage(1, "r1", "order", 7, null, WALL + 20_000, false, false, new byte[3])));
+                LengthFraming.INSTANCE.frame(Records.accepted(
+                        new StoredMessage(1, "r1", "order", 7, null, WALL + 20_000, false, false, new byte[3]))));
         Files.write(
                 folder.resolve("messages-3.log"),
-                Records.attemptStarted(1, new StoredAttempt("e1", WALL + 5_000, true)),
+                LengthFraming.INSTANCE.frame(Records.attemptStarted(1, new StoredAttempt("e1", WALL + 5_000, true))),
                 java.nio.file.StandardOpenOption.APPEND);
         Store.OpenMessage o = reopened("one", 900_000, WALL + 6_000);
         assertThat(o.message().deadlineAt()).isEqualTo(900_000 + 14_000);
--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -103,6 +103,48 @@
         }
     }
 
+    /** Guards against lost and forged messages: a body may hold any bytes, also those of a relay's own file. */
+    @Test
+    void aTornMessageWhoseBodyHoldsRecordsIsDroppedWhereverItWasCut() throws IOException {
+        byte[] body = fileThatEndsMessageOne(Store.open(folder.resolve("other"), DISK, BootClock.SYSTEM));
+        Path own = folder.resolve("own");
+        Store s = Store.open(own, DISK, BootClock.SYSTEM);
+        s.accept(message(1, 40));
+        s.flush();
+        Path file = currentFile(own);
+        int end = (int) Files.size(file);
+        s.accept(new StoredMessage(2, "r2", "order", 7, null, 1_002, false, false, body));
+        s.flush();
+        byte[] all = Files.readAllBytes(file);
+        for (int cut = end; cut < all.length; cut++) {
+            Path copy = folder.resolve("cut" + cut);
+            Files.createDirectories(copy);
+            Files.write(copy.resolve(file.getFileName()), java.util.Arrays.copyOf(all, cut));
+            assertThat(Store.open(copy, DISK, BootClock.SYSTEM).open())
+                    .as("cut at %d", cut)
+                    .extracting(o -> o.message().id())
+                    .containsExactly(1L);
+        }
+    }
+
+    private byte[] fileThatEndsMessageOne(Store s) throws IOException {
+        s.accept(message(1, 5));
+        s.complete(1);
+        s.accept(message(99, 5));
+        s.flush();
+        s.close();
+        byte[] file = Files.readAllBytes(currentFile(folder.resolve("other")));
+        byte[] padded = new byte[file.length + 200]; // so that cuts behind the records are tried as well
+        System.arraycopy(file, 0, padded, 0, file.length);
+        return padded;
+    }
+
+    private static Path currentFile(Path of) throws IOException {
+        try (Stream<Path> all = Files.list(of)) {
+            return all.toList().get(0);
+        }
+    }
+
     @Test
     void aDamagedRecordIsReportedAndTheOthersAreKept() throws IOException {
         Store s = reopened();
@@ -114,7 +156,7 @@
         s.accept(message(4, 40));
         s.flush();
         byte[] all = Files.readAllBytes(file);
-        all[end + Records.HEADER + 20] ^= 1;
+        all[end + 30] ^= 2;
         Files.write(file, all);
 
         StringBuilder log = new StringBuilder();
@@ -146,11 +188,8 @@
         s.accept(message(1, 40));
         s.flush();
         byte[] odd = Records.completed(9);
-        odd[Records.HEADER] = 99;
-        java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
-        crc.update(odd, Records.HEADER, odd.length - Records.HEADER);
-        java.nio.ByteBuffer.wrap(odd).putInt(6, (int) crc.getValue());
-        Files.write(files().get(0), odd, java.nio.file.StandardOpenOption.APPEND);
+        odd[0] = 99;
+        Files.write(files().get(0), DelimiterFraming.INSTANCE.frame(odd), java.nio.file.StandardOpenOption.APPEND);
         assertThat(only(reopened()).message().id()).isEqualTo(1);
     }
 
@@ -166,7 +205,7 @@
         byte[] ended = Records.attemptEnded(1, -1, false);
         Path file = files().get(0);
         for (byte[] odd : List.of(taken, ended)) {
-            Files.write(file, Records.withHeader(odd), java.nio.file.StandardOpenOption.APPEND);
+            Files.write(file, DelimiterFraming.INSTANCE.frame(odd), java.nio.file.StandardOpenOption.APPEND);
         }
         Store.OpenMessage o = only(reopened());
         assertThat(o.message().id()).isEqualTo(1);
