A keyed message stays in the zone of its call over a restart

Cause: an attempt was stored without its zone, which was looked up in the list at the start. Where the endpoint had gone, Control.answerIfHopeless took the only zone among the destination's listed endpoints for it, and trySend does not check an unknown zone. Messages from a dead relay took the same path. Change: the zone is stored with each attempt, by its name. A message whose zone is unknown is given up, whatever is listed: what is left says nothing about an endpoint that has gone.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -133,7 +133,7 @@
         double firstAcceptedAt, acceptedAt; // by any relay; by this one
         double notBefore, priority; // of the next attempt
         double inDoubtSince = Double.NaN; // first send that may have run, NaN if none
-        int inDoubtZone = -1; // zone of that send, -1 if unknown
+        int inDoubtZone = EarlierAttempt.UNKNOWN_ZONE; // zone of that send
         boolean inFlight; // an attempt has not ended
         boolean finished; // the final answer is known
         Set<Integer> zones; // where it may be sent, null for everywhere
@@ -390,8 +390,7 @@
                 continue;
             }
             pending.inDoubtSince = earlier.sentAt();
-            pending.inDoubtZone =
-                    endpoints.containsKey(earlier.endpoint()) ? endpoints.get(earlier.endpoint()).zone : -1;
+            pending.inDoubtZone = zoneOf(earlier);
         }
         unfinishedMessages.put(message.id(), pending);
         if (pending.ordered()) {
@@ -404,6 +403,12 @@
         }
     }
 
+    /** The zone of an earlier attempt; without a stored one, that of its endpoint if it is still listed. */
+    private int zoneOf(EarlierAttempt earlier) {
+        Endpoint listed = endpoints.get(earlier.endpoint());
+        return earlier.zone() != EarlierAttempt.UNKNOWN_ZONE || listed == null ? earlier.zone() : listed.zone;
+    }
+
     @Override
     public void withdrawn(double now, long id) {
         if (unfinishedMessages.containsKey(id)) {
@@ -927,14 +932,9 @@
                 && pending.attempts >= settings.limits().maxAttempts();
         noAttemptLeft |= pending.inDoubt() && pending.messageClass.effect() == Effect.UNSAFE;
         if (pending.boundToZone()) {
-            // The zone is unknown, or no longer permitted.
-            noAttemptLeft |= pending.inDoubtZone < 0
-                    ? pending.destination.endpoints.stream()
-                                    .mapToInt(e -> e.zone)
-                                    .distinct()
-                                    .count()
-                            != 1
-                    : pending.zones != null && !pending.zones.contains(pending.inDoubtZone);
+            // The zone is unknown, or no longer permitted. The listed endpoints do not tell where others were.
+            noAttemptLeft |= pending.inDoubtZone == EarlierAttempt.UNKNOWN_ZONE
+                    || pending.zones != null && !pending.zones.contains(pending.inDoubtZone);
         }
         List<Endpoint> permitted = pending.permittedEndpoints();
         double earliest = permitted.isEmpty() ? now : INFINITE, reported = earliest;
@@ -1102,7 +1102,7 @@
             return;
         }
         for (Endpoint endpoint : pending.permittedEndpoints()) {
-            if (pending.boundToZone() && pending.inDoubtZone >= 0 && endpoint.zone != pending.inDoubtZone) {
+            if (pending.boundToZone() && endpoint.zone != pending.inDoubtZone) {
                 continue;
             }
             boolean joins = canJoin(now, endpoint, pending),
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -154,8 +154,14 @@
     /** An entry of the list of endpoints. */
     record Entry(String endpoint, int destination, int kind, int zone, double weight, Listing listing) {}
 
-    /** An attempt before a restart; {@code maybeRan} unless it is known that it never ran. */
-    record EarlierAttempt(String endpoint, double sentAt, boolean maybeRan) {}
+    /**
+     * An attempt before a restart; {@code maybeRan} unless it is known that it never ran. The {@code zone} is that of
+     * its endpoint, which may have left the list since, or {@link #UNKNOWN_ZONE}.
+     */
+    record EarlierAttempt(String endpoint, int zone, double sentAt, boolean maybeRan) {
+        /** Of an attempt that was stored without its zone. */
+        public static final int UNKNOWN_ZONE = -1;
+    }
 
     /**
      * A message accepted by this relay, or resumed after a restart with its {@code earlierAttempts}, in order.
--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -124,9 +124,9 @@
      * Records the end of an attempt, and the completion of its message if that ended too. An attempt that was not
      * recorded before is recorded now, so that it counts.
      */
-    void attemptEnded(Outcome outcome, long nowMs) {
+    void attemptEnded(Outcome outcome, String zone, long nowMs) {
         if (store.attemptCount(outcome.id()) == outcome.attempt()) {
-            store.attemptStarted(outcome.id(), outcome.endpoint(), nowMs);
+            store.attemptStarted(outcome.id(), outcome.endpoint(), zone, nowMs);
         }
         store.attemptEnded(outcome.id(), outcome.attempt(), outcome.result().maybeRan());
         if (outcome.messageEnded()) {
@@ -151,11 +151,11 @@
     }
 
     /** Records that a call is about to be written; from now on it may have run. */
-    void recordCall(long id, int attempt, String endpoint, long nowMs) {
+    void recordCall(long id, int attempt, String endpoint, String zone, long nowMs) {
         if (store.attemptCount(id) > attempt) {
             store.attemptEnded(id, attempt, true); // recorded before, for a connection that turned out to be stale
         } else {
-            store.attemptStarted(id, endpoint, nowMs);
+            store.attemptStarted(id, endpoint, zone, nowMs);
         }
     }
 
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -54,8 +54,8 @@
     private static final int GIVEN_UP = 504;
     private static final int FAILED = 500;
 
-    /** An endpoint on the list: its destination, and the maximum number of messages per call. */
-    private record ListedEndpoint(int destination, int maxBatch) {}
+    /** An endpoint on the list: its destination and zone, and the maximum number of messages per call. */
+    private record ListedEndpoint(int destination, int zone, int maxBatch) {}
 
     /** A call that the controller has requested for a message. */
     private record RequestedSend(long id, String endpoint, double timeoutMs, boolean last) {}
@@ -301,7 +301,10 @@
             }
             List<Controller.EarlierAttempt> earlierAttempts = pending.attempts().stream()
                     .map(attempt -> new Controller.EarlierAttempt(
-                            attempt.endpoint(), now + (attempt.sentAt() - bootNow), attempt.maybeRan()))
+                            attempt.endpoint(),
+                            zoneNumber(attempt.zone()),
+                            now + (attempt.sentAt() - bootNow),
+                            attempt.maybeRan()))
                     .toList();
             controller.accepted(
                     now,
@@ -319,6 +322,12 @@
         }
     }
 
+    private int zoneNumber(String stored) {
+        return stored == null
+                ? Controller.EarlierAttempt.UNKNOWN_ZONE
+                : config.zones().number(stored);
+    }
+
     /** Applies the restrictions of a held message beyond its class. */
     private void applyRestrictions(StoredMessage message) {
         if (message.tenant() != null || message.booking() != null) {
@@ -568,7 +577,7 @@
             peers.ended(held.message.destination(), outcome);
         }
         if (outcome.result().counts()) {
-            messages.attemptEnded(outcome, clock.nowMs());
+            messages.attemptEnded(outcome, zoneName(outcome.endpoint()), clock.nowMs());
         }
         controller.ended(loop.now(), outcome);
     }
@@ -622,6 +631,7 @@
                     entry.endpoint(),
                     new ListedEndpoint(
                             entry.destination(),
+                            entry.zone(),
                             kinds.isEmpty()
                                     ? 1
                                     : kinds.get(Math.min(entry.kind(), kinds.size() - 1))
@@ -656,7 +666,7 @@
         long bootNow = clock.nowMs();
         endpoints.forEachReady((endpoint, item) -> {
             if (messages.get(item.id()) != null) {
-                messages.recordCall(item.id(), item.attempt(), endpoint, bootNow);
+                messages.recordCall(item.id(), item.attempt(), endpoint, zoneName(endpoint), bootNow);
             }
         });
         boolean stored = messages.flush() || refuseUnstored();
@@ -747,6 +757,12 @@
         return messages.flush();
     }
 
+    /** Name of the zone of an endpoint, or null if it is not listed. */
+    private String zoneName(String endpoint) {
+        ListedEndpoint listed = listedEndpoints.get(endpoint);
+        return listed == null ? null : config.zones().name(listed.zone());
+    }
+
     private int maxItems(String endpoint) {
         ListedEndpoint listed = listedEndpoints.get(endpoint);
         return listed == null ? 1 : listed.maxBatch();
--- a/src/main/java/firstair/relay/store/Records.java
+++ b/src/main/java/firstair/relay/store/Records.java
@@ -67,6 +67,9 @@
             out.writeUTF(t.endpoint());
             out.writeLong(t.sentAt());
             out.writeBoolean(t.maybeRan());
+            if (t.zone() != null) { // earlier versions did not record it
+                out.writeUTF(t.zone());
+            }
         });
     }
 
@@ -144,8 +147,13 @@
                             tenant.isEmpty() ? null : tenant,
                             booking.isEmpty() ? null : booking));
                 }
-                case CALLED ->
-                    reader.attemptStarted(id, new StoredAttempt(in.readUTF(), in.readLong(), in.readBoolean()));
+                case CALLED -> {
+                    String endpoint = in.readUTF();
+                    long sentAt = in.readLong();
+                    boolean maybeRan = in.readBoolean();
+                    String zone = in.available() > 0 ? in.readUTF() : null;
+                    reader.attemptStarted(id, new StoredAttempt(endpoint, zone, sentAt, maybeRan));
+                }
                 case ENDED -> reader.attemptEnded(id, in.readInt(), in.readBoolean());
                 case OWED -> reader.pendingNotice(id, new PendingNotice(in.readBoolean(), in.readDouble()));
                 case OVER -> reader.completed(id);
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -60,7 +60,7 @@
 
         private void convertTimes(StoredTimes times) {
             message = message.withDeadlineAt(times.deadlineAt(message.deadlineAt()));
-            attempts.replaceAll(t -> new StoredAttempt(t.endpoint(), times.sentAt(t.sentAt()), t.maybeRan()));
+            attempts.replaceAll(t -> t.withSentAt(times.sentAt(t.sentAt())));
         }
 
         private long reservedBytes() {
@@ -167,8 +167,7 @@
             public void attemptEnded(long id, int attempt, boolean maybeRan) {
                 OpenMessage o = open.get(id);
                 if (o != null && attempt >= 0 && attempt < o.attempts.size()) {
-                    StoredAttempt t = o.attempts.get(attempt);
-                    o.attempts.set(attempt, new StoredAttempt(t.endpoint(), t.sentAt(), maybeRan));
+                    o.attempts.set(attempt, o.attempts.get(attempt).withMaybeRan(maybeRan));
                 }
             }
 
@@ -240,10 +239,14 @@
         return o == null ? -1 : o.attempts.size();
     }
 
-    /** Records a call that is about to be sent; returns its index among the calls of the message. */
-    public int attemptStarted(long id, String endpoint, long sentAt) {
+    /**
+     * Records a call that is about to be sent; returns its index among the calls of the message.
+     *
+     * @param zone name of the endpoint's zone, or null if unknown
+     */
+    public int attemptStarted(long id, String endpoint, String zone, long sentAt) {
         OpenMessage o = open.get(id);
-        StoredAttempt t = new StoredAttempt(endpoint, sentAt, true);
+        StoredAttempt t = new StoredAttempt(endpoint, zone, sentAt, true);
         byte[] record = FRAMING.frame(Records.attemptStarted(id, t));
         reservedBytes -= o.reservedBytes();
         o.attempts.add(t);
@@ -257,8 +260,7 @@
     public void attemptEnded(long id, int attempt, boolean maybeRan) {
         OpenMessage o = open.get(id);
         if (o != null && attempt < o.attempts.size()) {
-            StoredAttempt t = o.attempts.get(attempt);
-            o.attempts.set(attempt, new StoredAttempt(t.endpoint(), t.sentAt(), maybeRan));
+            o.attempts.set(attempt, o.attempts.get(attempt).withMaybeRan(maybeRan));
             pending.writeBytes(FRAMING.frame(Records.attemptEnded(id, attempt, maybeRan)));
         }
     }
--- a/src/test/java/firstair/control/ColdFleet.java
+++ b/src/test/java/firstair/control/ColdFleet.java
@@ -197,7 +197,7 @@
             }
             call.messages++;
             int n = message.tried.size();
-            message.tried.add(new EarlierAttempt(endpoint, now, true));
+            message.tried.add(new EarlierAttempt(endpoint, EarlierAttempt.UNKNOWN_ZONE, now, true));
             Call sent = call;
             int startedAs = incarnation;
             schedule(sent.endsAt, this, () -> {
@@ -205,7 +205,8 @@
                     return;
                 }
                 boolean ok = sent.result == Result.OK;
-                message.tried.set(n, new EarlierAttempt(endpoint, sent.at, sent.result.maybeRan()));
+                message.tried.set(
+                        n, new EarlierAttempt(endpoint, EarlierAttempt.UNKNOWN_ZONE, sent.at, sent.result.maybeRan()));
                 notified |= sent.duringOutage;
                 if (ok && !message.done) {
                     message.done = true;
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import firstair.control.Controller.EarlierAttempt;
+import firstair.control.Controller.ListUpdate;
+import firstair.control.Controller.Listing;
 import firstair.control.Controller.MessageClass;
 import firstair.control.Controller.Result;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +22,7 @@
     @Test
     void anUnsafeMessageThatMayHaveRunIsGivenUpAtOnce() {
         Bench bench = relay(Bench.UNSAFE);
-        long id = bench.resume(0, 9_000, new EarlierAttempt("1/0/a", bench.now - 100, true));
+        long id = bench.resume(0, 9_000, new EarlierAttempt("1/0/a", 0, bench.now - 100, true));
         bench.decide();
         assertThat(bench.sent).isEmpty();
         assertThat(bench.givenUp).containsExactly(id);
@@ -28,7 +31,7 @@
     @Test
     void anUnsafeMessageThatNeverRanIsSent() {
         Bench bench = relay(Bench.UNSAFE);
-        bench.resume(0, 9_000, new EarlierAttempt("1/0/a", bench.now - 100, false));
+        bench.resume(0, 9_000, new EarlierAttempt("1/0/a", 0, bench.now - 100, false));
         bench.decide();
         assertThat(bench.sent).hasSize(1);
         assertThat(bench.sent.get(0).attempt()).isEqualTo(1);
@@ -41,13 +44,13 @@
         inside.resume(
                 0,
                 9_000,
-                new EarlierAttempt("1/0/a", inside.now - 9_000, false),
-                new EarlierAttempt("1/0/a", inside.now - 1_000, true));
+                new EarlierAttempt("1/0/a", 0, inside.now - 9_000, false),
+                new EarlierAttempt("1/0/a", 0, inside.now - 1_000, true));
         inside.decide();
         assertThat(inside.sent).hasSize(1);
 
         Bench late = relay(Bench.KEYED);
-        long id = late.resume(0, 9_000, new EarlierAttempt("1/0/a", late.now - 4_900, true));
+        long id = late.resume(0, 9_000, new EarlierAttempt("1/0/a", 0, late.now - 4_900, true));
         late.decide();
         assertThat(late.sent).isEmpty();
         assertThat(late.givenUp).containsExactly(id);
@@ -56,16 +59,42 @@
     @Test
     void aKeyedMessageStaysInTheZoneOfItsCall() {
         Bench bench = relay(Bench.KEYED_ZONE);
-        bench.resume(0, 9_000, new EarlierAttempt("1/1/b", bench.now - 500, true));
+        bench.resume(0, 9_000, new EarlierAttempt("1/1/b", 1, bench.now - 500, true));
         bench.decide();
         assertThat(bench.sent).extracting(Bench.Sent::endpoint).containsExactly("1/1/b");
     }
 
+    /** Guards against a second run in another zone: the endpoint of the call has left the list, its zone is stored. */
+    @Test
+    void aKeyedMessageWaitsForItsZoneThoughOnlyAnotherIsLeft() {
+        Bench bench = new Bench(Bench.settings(Bench.KEYED_ZONE)).endpoints("1/1/b");
+        bench.resume(0, 9_000, new EarlierAttempt("1/0/gone", 0, bench.now - 500, true));
+        bench.run(1_000, Result.OK, 20);
+        assertThat(bench.sent).isEmpty();
+        assertThat(bench.givenUp).isEmpty();
+        bench.control.list(bench.now, ListUpdate.CHANGES, List.of(Bench.entry("1/0/new", Listing.ACTIVE)));
+        bench.run(1_000, Result.OK, 20);
+        assertThat(bench.sent).extracting(Bench.Sent::endpoint).containsExactly("1/0/new");
+    }
+
+    /** Guards against a second run in another zone: the endpoints that are left don't tell the zone of one that left. */
+    @Test
+    void aKeyedMessageWhoseZoneIsUnknownIsGivenUpThoughOnlyOneIsLeft() {
+        Bench bench = new Bench(Bench.settings(Bench.KEYED_ZONE)).endpoints("1/1/b");
+        long resumed = bench.resume(
+                0, 9_000, new EarlierAttempt("1/0/gone", EarlierAttempt.UNKNOWN_ZONE, bench.now - 500, true));
+        long ofDeadRelay = bench.accept(0, 1, "k2", 9_000, true);
+        bench.decide();
+        assertThat(bench.sent).isEmpty();
+        assertThat(bench.givenUp).containsExactly(resumed, ofDeadRelay);
+    }
+
     /** The zone of an endpoint that has left the list, which drops repeats of the key, is unknown. */
     @Test
     void aKeyedMessageWhoseZoneIsUnknownIsGivenUp() {
         Bench bench = relay(Bench.KEYED_ZONE);
-        long id = bench.resume(0, 9_000, new EarlierAttempt("1/1/gone", bench.now - 500, true));
+        long id = bench.resume(
+                0, 9_000, new EarlierAttempt("1/1/gone", EarlierAttempt.UNKNOWN_ZONE, bench.now - 500, true));
         bench.decide();
         assertThat(bench.sent).isEmpty();
         assertThat(bench.givenUp).containsExactly(id);
@@ -75,7 +104,7 @@
     void attemptsBeforeTheRestartCountAmongThosePermitted() {
         Bench bench = relay(Bench.SAFE);
         EarlierAttempt[] all = IntStream.range(0, 12)
-                .mapToObj(i -> new EarlierAttempt("1/0/a", bench.now - 100, false))
+                .mapToObj(i -> new EarlierAttempt("1/0/a", 0, bench.now - 100, false))
                 .toArray(EarlierAttempt[]::new);
         long id = bench.resume(0, 9_000, all);
         bench.decide();
@@ -91,7 +120,7 @@
     void aRestartedRelayKeepsTheFirstWaitThatItReceives() {
         Bench bench = relay(Bench.SAFE);
         for (int i = 0; i < RESUMED; i++) {
-            bench.resume(0, 9_000, new EarlierAttempt("1/0/a", bench.now - 100, false));
+            bench.resume(0, 9_000, new EarlierAttempt("1/0/a", 0, bench.now - 100, false));
         }
         bench.decide();
         int atOnce = bench.sent.size();
@@ -115,8 +144,8 @@
         bench.resume(
                 0,
                 9_000,
-                new EarlierAttempt("1/0/a", bench.now - 100, false),
-                new EarlierAttempt("1/0/a", bench.now - 100, false));
+                new EarlierAttempt("1/0/a", 0, bench.now - 100, false),
+                new EarlierAttempt("1/0/a", 0, bench.now - 100, false));
         bench.decide();
         bench.run(2_000, Result.ERROR, 5);
         assertThat(bench.sent.get(1).at() - bench.sent.get(0).at()).isGreaterThan(550);
@@ -125,7 +154,7 @@
     @Test
     void messagesOutOfTimeEndInTheFirstRound() {
         Bench bench = relay(Bench.SAFE);
-        long ran = bench.resume(0, -500, new EarlierAttempt("1/0/a", bench.now - 900, true));
+        long ran = bench.resume(0, -500, new EarlierAttempt("1/0/a", 0, bench.now - 900, true));
         long never = bench.resume(0, -500);
         bench.decide();
         assertThat(bench.givenUp).containsExactly(ran);
@@ -139,7 +168,7 @@
                 "c", Controller.Effect.UNSAFE, Controller.Scope.ALL, true, false, 2_000, 0, 10_000, 0, 1, 0.3);
         Bench bench = relay(messageClass);
         double returned = bench.now;
-        long first = bench.resume(0, 9_000, new EarlierAttempt("1/0/a", bench.now - 100, true));
+        long first = bench.resume(0, 9_000, new EarlierAttempt("1/0/a", 0, bench.now - 100, true));
         bench.resume(0, 9_000);
         bench.decide();
         assertThat(bench.givenUp).containsExactly(first);
--- a/src/test/java/firstair/relay/HeldMessagesTest.java
+++ b/src/test/java/firstair/relay/HeldMessagesTest.java
@@ -53,19 +53,19 @@
     }
 
     private void end(int attempt, Result result) {
-        messages.attemptEnded(new Outcome(1, attempt, "e", result, 5, false, 0, Load.NONE), 50);
+        messages.attemptEnded(new Outcome(1, attempt, "e", result, 5, false, 0, Load.NONE), "z", 50);
     }
 
     @Test
     void atEachStepOfACallThatIsWritten() throws IOException {
         messages.flush();
         assertThat(readAfterKill()).as("connecting").isEmpty();
-        messages.recordCall(1, messages.recordedAttempts(1), "e", 40);
+        messages.recordCall(1, messages.recordedAttempts(1), "e", "z", 40);
         messages.flush();
-        assertThat(readAfterKill()).as("about to be written").containsExactly(new StoredAttempt("e", 40, true));
+        assertThat(readAfterKill()).as("about to be written").containsExactly(new StoredAttempt("e", "z", 40, true));
         end(0, Result.FULL);
         messages.flush();
-        assertThat(readAfterKill()).as("refused").containsExactly(new StoredAttempt("e", 40, false));
+        assertThat(readAfterKill()).as("refused").containsExactly(new StoredAttempt("e", "z", 40, false));
         assertThat(messages.recordedAttempts(1)).isEqualTo(1);
     }
 
@@ -73,7 +73,7 @@
     void aCallWithoutAConnectionIsRecordedWhenItEnds() throws IOException {
         end(0, Result.CONNECT_FAILED);
         messages.flush();
-        assertThat(readAfterKill()).containsExactly(new StoredAttempt("e", 50, false));
+        assertThat(readAfterKill()).containsExactly(new StoredAttempt("e", "z", 50, false));
         assertThat(messages.recordedAttempts(1))
                 .as("number of the next attempt")
                 .isEqualTo(1);
@@ -81,13 +81,13 @@
 
     @Test
     void aCallOnAStaleConnectionHasNotRunUntilItIsWrittenOnAnother() throws IOException {
-        messages.recordCall(1, 0, "e", 40);
+        messages.recordCall(1, 0, "e", "z", 40);
         messages.callNotWritten(1, 0);
         messages.flush();
-        assertThat(readAfterKill()).as("connecting").containsExactly(new StoredAttempt("e", 40, false));
-        messages.recordCall(1, 0, "e", 45);
+        assertThat(readAfterKill()).as("connecting").containsExactly(new StoredAttempt("e", "z", 40, false));
+        messages.recordCall(1, 0, "e", "z", 45);
         messages.flush();
-        assertThat(readAfterKill()).as("about to be written").containsExactly(new StoredAttempt("e", 40, true));
+        assertThat(readAfterKill()).as("about to be written").containsExactly(new StoredAttempt("e", "z", 40, true));
         end(0, Result.RESET);
         assertThat(messages.recordedAttempts(1)).isEqualTo(1);
     }
--- a/src/test/java/firstair/relay/store/EarlierFilesTest.java
+++ b/src/test/java/firstair/relay/store/EarlierFilesTest.java
@@ -45,7 +45,7 @@
         byte[] file = earlier(
                 accepted(1, new byte[] {0, 1, 2}),
                 accepted(2, new byte[0]),
-                Records.attemptStarted(1, new StoredAttempt("e1", 5, true)),
+                Records.attemptStarted(1, new StoredAttempt("e1", null, 5, true)),
                 Records.completed(2),
                 accepted(3, new byte[9]),
                 Records.pendingNotice(3, new PendingNotice(true, 7)));
@@ -56,7 +56,7 @@
             Store.OpenMessage one = store.open().iterator().next();
             assertThat(one.message().body()).containsExactly(0, 1, 2);
             assertThat(one.message().key()).isEqualTo("k1");
-            assertThat(one.attempts()).containsExactly(new StoredAttempt("e1", 5, true));
+            assertThat(one.attempts()).containsExactly(new StoredAttempt("e1", null, 5, true));
             assertThat(List.copyOf(store.open()).get(1).pendingNotice()).isEqualTo(new PendingNotice(true, 7));
         }
     }
--- a/src/test/java/firstair/relay/store/StoreClockTest.java
+++ b/src/test/java/firstair/relay/store/StoreClockTest.java
@@ -29,7 +29,7 @@
     private void writeFile() throws IOException {
         Store s = Store.open(folder, DISK, new Clocks("one", 500_000, WALL));
         s.accept(new StoredMessage(1, "r1", "order", 7, null, 520_000, false, false, new byte[3]));
-        s.attemptStarted(1, "e1", 505_000);
+        s.attemptStarted(1, "e1", "z", 505_000);
         s.flush();
         s.close();
     }
@@ -40,7 +40,7 @@
             writeFile();
             Store.OpenMessage o = reopened("one", 506_000, WALL + 6_000 + step);
             assertThat(o.message().deadlineAt()).isEqualTo(520_000);
-            assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", 505_000, true));
+            assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", "z", 505_000, true));
             Files.delete(folder.resolve("messages-2.log"));
         }
     }
@@ -77,7 +77,7 @@
     void withoutABootIdEachStartCountsAsAReboot() throws IOException {
         Store s = Store.open(folder, DISK, new Clocks("", 500_000, WALL));
         s.accept(new StoredMessage(1, "r1", "order", 7, null, 520_000, false, false, new byte[3]));
-        s.attemptStarted(1, "e1", 505_000);
+        s.attemptStarted(1, "e1", "z", 505_000);
         s.flush();
         assertThat(reopened("", 506_000, WALL + 6_000).attempts().get(0).sentAt())
                 .isLessThan(0);
@@ -91,7 +91,8 @@
                         new StoredMessage(1, "r1", "order", 7, null, WALL + 20_000, false, false, new byte[3]))));
         Files.write(
                 folder.resolve("messages-3.log"),
-                LengthFraming.INSTANCE.frame(Records.attemptStarted(1, new StoredAttempt("e1", WALL + 5_000, true))),
+                LengthFraming.INSTANCE.frame(
+                        Records.attemptStarted(1, new StoredAttempt("e1", null, WALL + 5_000, true))),
                 java.nio.file.StandardOpenOption.APPEND);
         Store.OpenMessage o = reopened("one", 900_000, WALL + 6_000);
         assertThat(o.message().deadlineAt()).isEqualTo(900_000 + 14_000);
--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -51,14 +51,15 @@
     void whatWasFlushedIsThereAfterARestart() throws IOException {
         Store s = reopened();
         s.accept(message(3, 5));
-        int first = s.attemptStarted(3, "e1", 11);
+        int first = s.attemptStarted(3, "e1", "z", 11);
         s.attemptEnded(3, first, false);
-        s.attemptStarted(3, "e2", 12);
+        s.attemptStarted(3, "e2", "z", 12);
         assertThat(s.flush()).isTrue();
 
         Store.OpenMessage o = only(reopened());
         assertThat(o.message()).usingRecursiveComparison().isEqualTo(message(3, 5));
-        assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", 11, false), new StoredAttempt("e2", 12, true));
+        assertThat(o.attempts())
+                .containsExactly(new StoredAttempt("e1", "z", 11, false), new StoredAttempt("e2", "z", 12, true));
         assertThat(o.pendingNotice()).isNull();
     }
 
@@ -198,7 +199,7 @@
     void aValidRecordWithImpossibleValuesIsSkipped() throws IOException {
         Store s = reopened();
         s.accept(message(1, 40));
-        s.attemptStarted(1, "e1", 11);
+        s.attemptStarted(1, "e1", "z", 11);
         s.flush();
         byte[] taken = Records.accepted(message(2, 0));
         java.nio.ByteBuffer.wrap(taken).putInt(taken.length - Integer.BYTES, -1); // length of the body
@@ -209,7 +210,7 @@
         }
         Store.OpenMessage o = only(reopened());
         assertThat(o.message().id()).isEqualTo(1);
-        assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", 11, true));
+        assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", "z", 11, true));
     }
 
     /** Bytes overwritten, removed or inserted at random: each message whose records are intact is still read. */
@@ -226,7 +227,7 @@
             long[] ends = new long[20];
             for (int id = 0; id < ends.length; id++) {
                 s.accept(message(id, random.nextInt(100)));
-                s.attemptStarted(id, "e" + id, 10 + id);
+                s.attemptStarted(id, "e" + id, "z", 10 + id);
                 s.flush();
                 ends[id] = Files.size(file);
             }
@@ -264,7 +265,7 @@
         while (s.fits(100) && taken < 40) {
             s.accept(message(taken, 100));
             for (int i = 0; i < 200; i++) {
-                s.attemptStarted(taken, "endpoint-with-a-name", 1);
+                s.attemptStarted(taken, "endpoint-with-a-name", "z", 1);
             }
             s.flush();
             taken++;
@@ -278,7 +279,7 @@
         Store s = reopened();
         for (int i = 0; i < 3_000; i++) {
             s.accept(message(i, 300));
-            s.attemptStarted(i, "endpoint-with-a-name", 1);
+            s.attemptStarted(i, "endpoint-with-a-name", "z", 1);
             s.flush();
             if (i >= 20) {
                 s.complete(i - 20);
@@ -297,7 +298,7 @@
         while (s.fits(1_000)) {
             s.accept(message(taken, 1_000));
             for (int attempt = 0; attempt < 6; attempt++) {
-                s.attemptStarted(taken, "endpoint-with-a-name", 1);
+                s.attemptStarted(taken, "endpoint-with-a-name", "z", 1);
                 s.attemptEnded(taken, attempt, true);
             }
             assertThat(s.flush()).isTrue();
