The store never grows past its space, and goes on where an earlier file did

Cause: Store.fits was asked for each message of a round but counted only what was recorded, at the round's end. The file then took more than half of the space, a new one did not fit beside it, and each later write wanted one. A start did not count the old file. A message recorded twice counts once. StoreTest and EarlierFilesTest have three and one new cases for files that are too large.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -932,7 +932,7 @@
                 && pending.attempts >= settings.limits().maxAttempts();
         noAttemptLeft |= pending.inDoubt() && pending.messageClass.effect() == Effect.UNSAFE;
         if (pending.boundToZone()) {
-            // The zone is unknown, or no longer permitted. The listed endpoints do not tell where others were.
+            // The zone is unknown, or no longer permitted. Listed endpoints do not tell where others were.
             noAttemptLeft |= pending.inDoubtZone == EarlierAttempt.UNKNOWN_ZONE
                     || pending.zones != null && !pending.zones.contains(pending.inDoubtZone);
         }
--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -42,6 +42,7 @@
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> idsByRequestId = new HashMap<>();
     private final List<Held> accepted = new ArrayList<>(); // in this round, not stored yet
+    private long acceptedBytes; // space in the store for the messages accepted in this round and not recorded yet
     private final Deque<Held> unanswered = new ArrayDeque<>(); // stored, but their clients are not answered yet
     private long nextId;
 
@@ -54,9 +55,9 @@
         return nextId++;
     }
 
-    /** Whether there is space for one more message with a body of this size. */
-    boolean fits(int bodyBytes) {
-        return store.fits(bodyBytes);
+    /** Whether there is space for one more message, beside those that were accepted in this round. */
+    boolean fits(StoredMessage message) {
+        return store.fits(acceptedBytes + Store.spaceFor(message));
     }
 
     /** The messages and notices that were pending when the last process ended. */
@@ -76,6 +77,7 @@
         Held added = new Held(message, client.deadlineAt(), Double.NEGATIVE_INFINITY, client);
         hold(added);
         accepted.add(added);
+        acceptedBytes += Store.spaceFor(message);
     }
 
     private void hold(Held added) {
@@ -171,6 +173,7 @@
                 store.accept(added.message);
             }
         }
+        acceptedBytes = 0; // the store counts them now
     }
 
     /** Writes all records since the last call; returns false if they could not be written. */
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -516,30 +516,19 @@
             submission.respond(watch.current() ? UNKNOWN_DESTINATION : REFUSED, 0);
             return;
         }
-        if (!messages.fits(submission.body().length)) {
+        double now = loop.now();
+        MessageClass messageClass = config.settings().classes().get(submission.messageClass());
+        StoredMessage message = storedMessage(submission, messageClass, now);
+        if (!messages.fits(message)) {
             submission.respond(REFUSED, 0);
             return;
         }
-        double now = loop.now();
-        MessageClass messageClass = config.settings().classes().get(submission.messageClass());
         FleetPeers.Admission admission =
                 peers.admit(submission.tenant(), messageClass.name(), submission.destination(), submission.booking());
         if (admission.status() != 0) {
             submission.respond(admission.status(), admission.retryAfterMs(), admission.reason());
             return;
         }
-        StoredMessage message = new StoredMessage(
-                messages.nextId(),
-                submission.requestId(),
-                messageClass.name(),
-                submission.destination(),
-                submission.key(),
-                clock.nowMs() + Math.round(submission.deadlineAt() - now),
-                submission.resubmitted(),
-                submission.fromCrashedRelay(),
-                submission.body(),
-                peers.enabled() ? submission.tenant() : null,
-                peers.enabled() ? submission.booking() : null);
         messages.accept(message, submission);
         controller.accepted(
                 now,
@@ -559,6 +548,21 @@
         peers.accepted(message.destination());
     }
 
+    private StoredMessage storedMessage(Submission submission, MessageClass messageClass, double now) {
+        return new StoredMessage(
+                messages.nextId(),
+                submission.requestId(),
+                messageClass.name(),
+                submission.destination(),
+                submission.key(),
+                clock.nowMs() + Math.round(submission.deadlineAt() - now),
+                submission.resubmitted(),
+                submission.fromCrashedRelay(),
+                submission.body(),
+                peers.enabled() ? submission.tenant() : null,
+                peers.enabled() ? submission.booking() : null);
+    }
+
     private void trace(Held held, String event) {
         if (LOG.isLoggable(Level.FINE)) {
             LOG.fine("message " + held.message.requestId() + ": " + event + ", "
--- a/src/main/java/firstair/relay/store/Records.java
+++ b/src/main/java/firstair/relay/store/Records.java
@@ -8,9 +8,13 @@
 import java.io.UncheckedIOException;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
+import java.util.Objects;
+import java.util.stream.Stream;
 
 /** The contents of the records in a file; {@link Framing} tells how they follow each other. */
 final class Records {
+    private static final int MAX_FIXED_BYTES = 64; // of a message: numbers, flags, and the lengths of its strings
+    private static final int MAX_BYTES_PER_CHAR = 3; // of writeUTF
     private static final int MAX_TEXT_BYTES = 48 * 1024; // of the longest head of a request, with three bytes for each
 
     /** Receives the decoded records. */
@@ -43,6 +47,15 @@
 
     private Records() {}
 
+    /** Upper bound for the size of {@link #accepted}. */
+    static long maxAcceptedBytes(StoredMessage t) {
+        long chars = Stream.of(t.requestId(), t.className(), t.key(), t.tenant(), t.booking())
+                .filter(Objects::nonNull)
+                .mapToLong(String::length)
+                .sum();
+        return MAX_FIXED_BYTES + MAX_BYTES_PER_CHAR * chars + t.body().length;
+    }
+
     static byte[] accepted(StoredMessage t) {
         return record(Type.TAKEN, t.id(), out -> {
             out.writeUTF(t.requestId());
--- a/src/main/java/firstair/relay/store/StateFolder.java
+++ b/src/main/java/firstair/relay/store/StateFolder.java
@@ -86,6 +86,17 @@
                 tempFile(), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
     }
 
+    /** Opens a generation to append behind its first {@code bytes} bytes; the rest is cut off. */
+    FileChannel openToAppend(Path generation, long bytes) throws IOException {
+        FileChannel file = FileChannel.open(generation, StandardOpenOption.WRITE);
+        try {
+            return file.truncate(bytes).position(bytes);
+        } catch (IOException e) {
+            file.close();
+            throw e;
+        }
+    }
+
     /** Renames the completely written temporary file to its final name. */
     void publish(Path named) throws IOException {
         try {
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -19,28 +19,33 @@
 
 /**
  * The messages that have not been completed, in memory and in one append-only file. When the file has grown to half of
- * the disk space, the open messages are written to a new file that replaces it, so both always fit. Nothing is synced:
+ * the disk space, the open messages are written to a new file that replaces it, so both always fit. A larger file of an
+ * earlier process is continued until enough of its messages have ended. Nothing is synced:
  * the folder outlives the process, not the machine.
  */
 public final class Store {
     private static final Logger LOG = Logger.getLogger(Store.class.getName());
-    private static final Framing FRAMING = DelimiterFraming.INSTANCE;
     private static final long READ_TIMEOUT_MS = 5000; // a relay has to be ready within 10 s
     private static final long READ_RETRY_MS = 50;
     private static final long LOGGED_CLOCK_STEP_MS = 1000;
     private static final int DISK_RESERVE_BYTES = 8192; // not used for records: partly filled blocks, the folder
     private static final int ATTEMPTS_RESERVE_BYTES = 1024; // reserved for the calls and the outcome of each message
-    private static final int MAX_BYTES_WITHOUT_BODY = 512; // upper bound for the record of a message without its body
 
     /** A message that is not completed, with its calls and its notice. */
     public static final class OpenMessage {
         private StoredMessage message;
+        private long recordBytes; // upper bound for the record of the message itself
         private final List<StoredAttempt> attempts = new ArrayList<>();
         private PendingNotice pendingNotice;
         private int attemptBytes; // size of the records of its calls
 
         private OpenMessage(StoredMessage taken) {
-            this.message = taken;
+            setMessage(taken);
+        }
+
+        private void setMessage(StoredMessage current) {
+            message = current;
+            recordBytes = DelimiterFraming.maxFrameBytes(Records.maxAcceptedBytes(current));
         }
 
         /** The message; without its body once only its notice is pending. */
@@ -64,9 +69,7 @@
         }
 
         private long reservedBytes() {
-            return spaceFor(message.body().length)
-                    - ATTEMPTS_RESERVE_BYTES
-                    + Math.max(ATTEMPTS_RESERVE_BYTES, attemptBytes);
+            return recordBytes + Math.max(ATTEMPTS_RESERVE_BYTES, attemptBytes);
         }
     }
 
@@ -78,7 +81,10 @@
     private FileChannel file;
     private Path path;
     private long generation;
+    private Framing framing = DelimiterFraming.INSTANCE; // of the current file
     private long size;
+    private long completeBytes; // of the file that was read at the start, without an incomplete last record
+    private boolean sameBoot; // that file was written in the current boot
     private long reservedBytes;
     private boolean incomplete; // the file lacks records that could not be written
     private boolean torn; // the file may contain part of a failed write
@@ -92,8 +98,8 @@
     }
 
     /**
-     * Reads the current file in the folder and writes a new one with the open messages. Transient read failures are
-     * retried.
+     * Reads the current file in the folder and writes a new one with the open messages, or continues the current one
+     * if a new one does not fit beside it. Transient read failures are retried.
      *
      * @param diskBytes bytes that the folder may use
      * @param clock     the clock of deadlines and of the times of calls
@@ -103,7 +109,11 @@
         Store store = new Store(folder, diskBytes, clock);
         store.read(folder);
         try {
-            store.rewrite();
+            if (store.newFileFits()) {
+                store.rewrite();
+            } else {
+                store.continueFile();
+            }
         } catch (IOException e) {
             // Deliver the messages that were read, accept no new ones, and retry the write with each flush.
             store.incomplete = true;
@@ -159,7 +169,7 @@
                 OpenMessage o = open.get(id);
                 if (o != null) {
                     o.attempts.add(t);
-                    o.attemptBytes += FRAMING.frame(Records.attemptStarted(id, t)).length;
+                    o.attemptBytes += maxFrameBytes(Records.attemptStarted(id, t));
                 }
             }
 
@@ -176,7 +186,7 @@
                 OpenMessage o = open.get(id);
                 if (o != null) {
                     o.pendingNotice = owed;
-                    o.message = o.message.withoutBody();
+                    o.setMessage(o.message.withoutBody());
                 }
             }
 
@@ -190,9 +200,13 @@
                 fileClock[0] = mark;
             }
         };
-        Framing.ReadResult found = Framing.of(file).read(file, content -> Records.read(content, reader));
+        framing = Framing.of(file);
+        Framing.ReadResult found = framing.read(file, content -> Records.read(content, reader));
+        size = file.length;
+        completeBytes = file.length - found.truncatedBytes();
         StoredTimes times = new StoredTimes(fileClock[0], clock);
         open.values().forEach(o -> o.convertTimes(times));
+        sameBoot = times.sameBoot();
         if (Math.abs(times.wallStepMs()) >= LOGGED_CLOCK_STEP_MS) {
             LOG.info("store: the wall clock was stepped by " + times.wallStepMs() + " ms; deadlines are not affected");
         }
@@ -215,22 +229,26 @@
         return open.keySet().stream().mapToLong(Long::longValue).max().orElse(-1);
     }
 
-    /** Whether there is space for one more message with a body of this size. */
-    public boolean fits(int bodyBytes) {
-        return !incomplete && reservedBytes + spaceFor(bodyBytes) <= maxFileBytes();
+    /** Whether there is space for so many bytes of {@link #spaceFor} beside the messages recorded so far. */
+    public boolean fits(long bytes) {
+        return !incomplete && reservedBytes + bytes <= maxFileBytes();
     }
 
-    /** Upper bound for the bytes of a message with a body of this size, with its calls and its outcome. */
-    private static long spaceFor(int bodyBytes) {
-        return DelimiterFraming.maxFrameBytes(bodyBytes + MAX_BYTES_WITHOUT_BODY) + ATTEMPTS_RESERVE_BYTES;
+    /** Upper bound for the bytes of a new message with its calls and its outcome. */
+    public static long spaceFor(StoredMessage t) {
+        return new OpenMessage(t).reservedBytes();
+    }
+
+    private static int maxFrameBytes(byte[] content) {
+        return (int) DelimiterFraming.maxFrameBytes(content.length);
     }
 
     /** Records a message that is about to be accepted. */
     public void accept(StoredMessage t) {
         OpenMessage o = new OpenMessage(t);
-        open.put(t.id(), o);
-        reservedBytes += o.reservedBytes();
-        pending.writeBytes(FRAMING.frame(Records.accepted(t)));
+        OpenMessage recordedBefore = open.put(t.id(), o);
+        reservedBytes += o.reservedBytes() - (recordedBefore == null ? 0 : recordedBefore.reservedBytes());
+        record(Records.accepted(t));
     }
 
     /** Number of recorded calls of a message, -1 if the message is completed. */
@@ -247,12 +265,12 @@
     public int attemptStarted(long id, String endpoint, String zone, long sentAt) {
         OpenMessage o = open.get(id);
         StoredAttempt t = new StoredAttempt(endpoint, zone, sentAt, true);
-        byte[] record = FRAMING.frame(Records.attemptStarted(id, t));
+        byte[] content = Records.attemptStarted(id, t);
         reservedBytes -= o.reservedBytes();
         o.attempts.add(t);
-        o.attemptBytes += record.length;
+        o.attemptBytes += maxFrameBytes(content);
         reservedBytes += o.reservedBytes();
-        pending.writeBytes(record);
+        record(content);
         return o.attempts.size() - 1;
     }
 
@@ -261,7 +279,7 @@
         OpenMessage o = open.get(id);
         if (o != null && attempt < o.attempts.size()) {
             o.attempts.set(attempt, o.attempts.get(attempt).withMaybeRan(maybeRan));
-            pending.writeBytes(FRAMING.frame(Records.attemptEnded(id, attempt, maybeRan)));
+            record(Records.attemptEnded(id, attempt, maybeRan));
         }
     }
 
@@ -271,9 +289,9 @@
         if (o != null) {
             reservedBytes -= o.reservedBytes();
             o.pendingNotice = owed;
-            o.message = o.message.withoutBody();
+            o.setMessage(o.message.withoutBody());
             reservedBytes += o.reservedBytes();
-            pending.writeBytes(FRAMING.frame(Records.pendingNotice(id, owed)));
+            record(Records.pendingNotice(id, owed));
         }
     }
 
@@ -282,10 +300,14 @@
         OpenMessage o = open.remove(id);
         if (o != null) {
             reservedBytes -= o.reservedBytes();
-            pending.writeBytes(FRAMING.frame(Records.completed(id)));
+            record(Records.completed(id));
         }
     }
 
+    private void record(byte[] content) {
+        pending.writeBytes(framing.frame(content));
+    }
+
     /** Writes all records since the last flush; false if they could not be written. */
     public boolean flush() {
         if (pending.size() == 0 && !incomplete) {
@@ -294,11 +316,7 @@
         byte[] bytes = pending.toByteArray();
         pending.reset();
         try {
-            if (incomplete || size + bytes.length > maxFileBytes()) {
-                rewrite();
-            } else {
-                append(bytes);
-            }
+            store(bytes);
             if (writeFailureLogged) {
                 LOG.info("store: writes succeed again");
             }
@@ -321,6 +339,22 @@
         return !torn;
     }
 
+    private void store(byte[] bytes) throws IOException {
+        boolean full = size + bytes.length > maxFileBytes();
+        if ((incomplete || full) && newFileFits()) {
+            rewrite();
+        } else if (!incomplete && (!full || size + bytes.length <= usableBytes())) {
+            append(bytes); // a full file without space for a new one goes on until enough messages have ended
+        } else {
+            throw noSpace();
+        }
+    }
+
+    private IOException noSpace() {
+        return new IOException("not enough disk space for a new file, " + size + " bytes in the current one and "
+                + folder.undeletedBytes() + " in files that cannot be deleted");
+    }
+
     private void append(byte[] bytes) throws IOException {
         try {
             write(file, bytes);
@@ -352,10 +386,35 @@
         return (diskBytes - folder.undeletedBytes()) / 2 - DISK_RESERVE_BYTES;
     }
 
-    private void rewrite() throws IOException {
-        if (folder.undeletedBytes() + size + reservedBytes > diskBytes - DISK_RESERVE_BYTES) {
-            throw new IOException("not enough disk space beside files that cannot be deleted");
+    /** Bytes for files of messages together. */
+    private long usableBytes() {
+        return diskBytes - folder.undeletedBytes() - DISK_RESERVE_BYTES;
+    }
+
+    /**
+     * Whether a new file fits beside the current one. If the current one alone exceeds the limit, which was lowered,
+     * only a new one can bring the folder back under it.
+     */
+    private boolean newFileFits() {
+        boolean limitLowered = size > usableBytes() && reservedBytes <= maxFileBytes();
+        return limitLowered || size + reservedBytes <= usableBytes();
+    }
+
+    /**
+     * Appends to the file that was read, where a new one does not fit beside it. Its times must refer to the clock of
+     * this boot.
+     */
+    private void continueFile() throws IOException {
+        if (path == null || !sameBoot) {
+            throw noSpace();
         }
+        folder.deleteTempFile();
+        file = folder.openToAppend(path, completeBytes);
+        size = completeBytes;
+        LOG.info("store: " + path.getFileName() + " is continued, " + size + " bytes leave no space for a new file");
+    }
+
+    private void rewrite() throws IOException {
         FileChannel next = folder.newTempFile();
         Path named = folder.pathOf(generation + 1);
         long written;
@@ -374,6 +433,7 @@
         path = named;
         file = next;
         size = written;
+        framing = DelimiterFraming.INSTANCE;
         torn = false;
         close(before);
         if (old != null) {
@@ -383,15 +443,16 @@
 
     private long writeAll(FileChannel next) throws IOException {
         ByteArrayOutputStream block = new ByteArrayOutputStream();
-        block.writeBytes(FRAMING.frame(Records.clock(StoredTimes.ClockReading.of(clock))));
+        Framing target = DelimiterFraming.INSTANCE;
+        block.writeBytes(target.frame(Records.clock(StoredTimes.ClockReading.of(clock))));
         long written = 0;
         for (OpenMessage o : open.values()) {
-            block.writeBytes(FRAMING.frame(Records.accepted(o.message)));
+            block.writeBytes(target.frame(Records.accepted(o.message)));
             for (StoredAttempt t : o.attempts) {
-                block.writeBytes(FRAMING.frame(Records.attemptStarted(o.message.id(), t)));
+                block.writeBytes(target.frame(Records.attemptStarted(o.message.id(), t)));
             }
             if (o.pendingNotice != null) {
-                block.writeBytes(FRAMING.frame(Records.pendingNotice(o.message.id(), o.pendingNotice)));
+                block.writeBytes(target.frame(Records.pendingNotice(o.message.id(), o.pendingNotice)));
             }
             if (block.size() >= DISK_RESERVE_BYTES) {
                 write(next, block.toByteArray());
--- a/src/test/java/firstair/control/RestartTest.java
+++ b/src/test/java/firstair/control/RestartTest.java
@@ -77,7 +77,7 @@
         assertThat(bench.sent).extracting(Bench.Sent::endpoint).containsExactly("1/0/new");
     }
 
-    /** Guards against a second run in another zone: the endpoints that are left don't tell the zone of one that left. */
+    /** Guards against a second run in another zone: listed endpoints do not tell the zone of one that has left. */
     @Test
     void aKeyedMessageWhoseZoneIsUnknownIsGivenUpThoughOnlyOneIsLeft() {
         Bench bench = new Bench(Bench.settings(Bench.KEYED_ZONE)).endpoints("1/1/b");
--- a/src/test/java/firstair/relay/faults/ZoneAfterRestartTest.java
+++ b/src/test/java/firstair/relay/faults/ZoneAfterRestartTest.java
@@ -13,8 +13,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A keyed message may have run at an endpoint that has left the list when the relay starts again; repeats of its key are
- * dropped in that endpoint's zone alone (row R11).
+ * A keyed message may have run at an endpoint that has left the list when the relay starts again; repeats of its key
+ * are dropped in that endpoint's zone alone (row R11).
  */
 class ZoneAfterRestartTest extends FaultTest {
     private static final long TIMEOUT_MS = 20_000;
--- a/src/test/java/firstair/relay/store/EarlierFilesTest.java
+++ b/src/test/java/firstair/relay/store/EarlierFilesTest.java
@@ -103,4 +103,28 @@
             Files.list(folder).forEach(f -> f.toFile().delete());
         }
     }
+
+    /** An earlier version could write more than half of the space; then a new file does not fit beside its own. */
+    @Test
+    void aFileTooLargeForANewOneIsContinued() throws IOException {
+        byte[][] contents = new byte[13][];
+        for (int id = 0; id < contents.length; id++) {
+            contents[id] = accepted(id, new byte[10_000]);
+        }
+        byte[] whole = earlier(contents);
+        Store first = opened(Arrays.copyOf(whole, whole.length - 3)); // killed during the write of the last one
+        first.complete(0);
+        first.attemptStarted(1, "e1", "z", 5);
+        assertThat(first.flush()).isTrue();
+        first.close();
+
+        Store second = Store.open(folder, DISK, BootClock.SYSTEM);
+        assertThat(ids(second)).containsExactly(1L, 2L, 3L, 4L, 5L, 6L, 7L, 8L, 9L, 10L, 11L);
+        assertThat(second.open().iterator().next().attempts()).containsExactly(new StoredAttempt("e1", "z", 5, true));
+        for (long id = 1; id < 11; id++) {
+            second.complete(id);
+            assertThat(second.flush()).isTrue();
+        }
+        assertThat(ids(Store.open(folder, DISK, BootClock.SYSTEM))).containsExactly(11L);
+    }
 }
--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -262,7 +262,7 @@
     void messagesWithVeryManyCallsStayWithinTheDiskLimit() throws IOException {
         Store s = reopened();
         int taken = 0;
-        while (s.fits(100) && taken < 40) {
+        while (s.fits(Store.spaceFor(message(taken, 100))) && taken < 40) {
             s.accept(message(taken, 100));
             for (int i = 0; i < 200; i++) {
                 s.attemptStarted(taken, "endpoint-with-a-name", "z", 1);
@@ -295,7 +295,7 @@
     void aFullStoreRejectsMessagesUntilOthersComplete() throws IOException {
         Store s = reopened();
         int taken = 0;
-        while (s.fits(1_000)) {
+        while (s.fits(Store.spaceFor(message(taken, 1_000)))) {
             s.accept(message(taken, 1_000));
             for (int attempt = 0; attempt < 6; attempt++) {
                 s.attemptStarted(taken, "endpoint-with-a-name", "z", 1);
@@ -308,7 +308,7 @@
         assertThat(onDisk()).isLessThanOrEqualTo(DISK / 2);
         s.complete(0);
         s.flush();
-        assertThat(s.fits(1_000)).isTrue();
+        assertThat(s.fits(Store.spaceFor(message(taken, 1_000)))).isTrue();
     }
 
     @Test
@@ -354,4 +354,70 @@
                 folder.resolve("messages-0.log"), old); // killed between renaming the new file and deleting the old one
         assertThat(only(reopened()).message().id()).isEqualTo(2);
     }
+
+    /** Guards against a store that could not be written again, as a new file did not fit beside a large one. */
+    @Test
+    void aFileTooLargeForANewOneIsContinuedUntilMessagesHaveEnded() throws IOException {
+        Store before = Store.open(folder, 4 * DISK, BootClock.SYSTEM);
+        for (int id = 0; id < 13; id++) {
+            before.accept(message(id, 10_000));
+        }
+        before.flush();
+        before.close();
+        assertThat(onDisk()).isGreaterThan(DISK / 2);
+
+        Store s = reopened();
+        assertThat(s.fits(1)).isFalse();
+        s.attemptStarted(0, "e1", "z", 11);
+        s.setPendingNotice(1, new PendingNotice(true, 250));
+        assertThat(s.flush()).isTrue();
+        Store next = reopened();
+        assertThat(next.open()).hasSize(13);
+        assertThat(List.copyOf(next.open()).get(0).attempts()).containsExactly(new StoredAttempt("e1", "z", 11, true));
+        assertThat(List.copyOf(next.open()).get(1).pendingNotice()).isNotNull();
+
+        for (int id = 0; id < 13; id++) {
+            assertThat(onDisk()).as("before the end of %d", id).isLessThanOrEqualTo(DISK);
+            next.complete(id);
+            assertThat(next.flush()).isTrue();
+        }
+        assertThat(onDisk()).isLessThanOrEqualTo(DISK / 2);
+        assertThat(next.fits(Store.spaceFor(message(20, 1_000)))).isTrue();
+        assertThat(reopened().open()).isEmpty();
+    }
+
+    /** What a torn write has left in a file that is continued must not become part of the next record. */
+    @Test
+    void aFileThatIsContinuedBeginsBehindItsLastCompleteRecord() throws IOException {
+        Store before = Store.open(folder, 4 * DISK, BootClock.SYSTEM);
+        for (int id = 0; id < 13; id++) {
+            before.accept(message(id, 10_000));
+            before.flush();
+        }
+        before.close();
+        Path file = files().get(0);
+        byte[] all = Files.readAllBytes(file);
+        Files.write(file, java.util.Arrays.copyOf(all, all.length - 1));
+
+        Store s = reopened();
+        assertThat(s.open()).hasSize(12);
+        s.complete(0);
+        assertThat(s.flush()).isTrue();
+        assertThat(reopened().open()).extracting(o -> o.message().id()).doesNotContain(0L, 12L);
+    }
+
+    @Test
+    void aLoweredLimitIsKeptAgainOnceTheOpenMessagesFit() throws IOException {
+        Store before = Store.open(folder, 4 * DISK, BootClock.SYSTEM);
+        for (int id = 0; id < 30; id++) {
+            before.accept(message(id, 10_000));
+        }
+        before.flush();
+        for (int id = 1; id < 30; id++) {
+            before.complete(id);
+        }
+        before.close();
+        assertThat(only(reopened()).message().id()).isZero();
+        assertThat(onDisk()).isLessThanOrEqualTo(DISK / 2);
+    }
 }
