The end of a message is told once it is stored

Cause: calls and answers 202 wait until their round is stored; notices did not. While the store could not be written, ends were posted of which the folder knew nothing, so after a kill the messages were taken up and sent. The same with a folder in order and writes that fail (ENOSPC): FailingStateFolderTest. Change: UnstoredNotices holds a notice back until the end of its message is stored, or until the message's deadline, behind which no process calls for it. It is due 300 ms later, as before.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -69,6 +69,7 @@
     private final Endpoints endpoints;
     private final EndpointListWatch watch;
     private final Notices notices;
+    private final UnstoredNotices unstoredNotices;
     private final ClientFilter clients;
     private final Controller controller;
     private final FleetPeers peers;
@@ -130,6 +131,7 @@
         endpoints = new Endpoints(wire, limits, loop, new CallListener());
         notices = new Notices(
                 wire, limits, loop, config.discovery(), new Random(config.seed()), store::complete, this::platformLost);
+        unstoredNotices = new UnstoredNotices(loop);
         EndpointList known = config.knownEndpoints();
         watch = new EndpointListWatch(
                 wire,
@@ -674,6 +676,7 @@
             }
         });
         boolean stored = messages.flush() || refuseUnstored();
+        unstoredNotices.release(stored);
         notices.flush(); // stored by now; they have the shortest time limit of all that a round sends
         if (!messages.answerAccepted(delayedFromNow())) {
             loop.post(() -> {}); // the other clients are answered in the next round
@@ -683,7 +686,8 @@
             openTimer.cancel();
             open();
         }
-        boolean nothingPending = callsStopped || messages.isEmpty() && notices.pending() == 0;
+        boolean nothingPending =
+                callsStopped || messages.isEmpty() && notices.pending() == 0 && unstoredNotices.isEmpty();
         if (drainTimedOut || clientsDraining && nothingPending && endpoints.callsInProgress() == 0 && !clients.busy()) {
             closeClients();
         }
@@ -820,7 +824,7 @@
         } else {
             messages.noticePending(id, notice);
             double dueAt = Math.max(held.deadlineAt + limits.notices().dueMs(), held.graceUntil);
-            notices.add(id, held.message.requestId(), notice, dueAt);
+            unstoredNotices.add(held.deadlineAt, () -> notices.add(id, held.message.requestId(), notice, dueAt));
         }
     }
 
--- a/src/test/java/firstair/relay/faults/FailingStateFolderTest.java
+++ b/src/test/java/firstair/relay/faults/FailingStateFolderTest.java
@@ -154,4 +154,50 @@
                 .as("accepted again once they can be deleted")
                 .isEqualTo(202);
     }
+
+    /** Submits a message and refuses it for longer than it lasts, from when on its end cannot be stored. */
+    private double endWhileNothingCanBeStored(int timeoutMs) throws Exception {
+        fixture.node.start();
+        fixture.behaviour = r -> {
+            preload.rules(rule("file_write", 0, FaultInjector.ALWAYS, FaultInjector.ENOSPC, "messages"));
+            r.answer(429, "Retry-After: 60");
+        };
+        double submittedAt = fixture.submitAccepted("m1", "safe", timeoutMs);
+        fixture.awaitCalls("m1", 1, submittedAt + 2000);
+        return submittedAt;
+    }
+
+    /** Guards against a call after a final answer: the next process resumes a message whose end is not stored. */
+    @Test
+    void anEndThatIsNotStoredIsNotTold() throws Exception {
+        endWhileNothingCanBeStored(20_000);
+        fixture.sleepUntil(fixture.now() + 1500);
+        assertThat(fixture.notices).isEmpty();
+        fixture.node.kill();
+        preload.rules();
+        fixture.behaviour = r -> r.answer(200);
+        fixture.node.start();
+        fixture.awaitCalls("m1", 2, fixture.now() + 5000);
+        assertThat(fixture.notices).isEmpty();
+    }
+
+    @Test
+    void anEndIsToldAsSoonAsItCanBeStored() throws Exception {
+        endWhileNothingCanBeStored(20_000);
+        fixture.sleepUntil(fixture.now() + 500);
+        assertThat(fixture.notices).isEmpty();
+        preload.rules();
+        assertThat(fixture.awaitNotice("m1", fixture.now() + 1000).outcome()).isEqualTo("handed_back");
+        fixture.node.kill();
+        fixture.node.start();
+        fixture.sleepUntil(fixture.now() + 1000);
+        assertThat(fixture.callsOf("m1")).hasSize(1);
+    }
+
+    /** No process calls for a message whose deadline has passed, and its notice is owed 300 ms later. */
+    @Test
+    void anEndThatCannotBeStoredIsToldAtTheDeadline() throws Exception {
+        double deadline = endWhileNothingCanBeStored(3000) + 3000;
+        assertThat(fixture.awaitNotice("m1", deadline + 300).atMs()).isGreaterThan(deadline);
+    }
 }
