--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -2,6 +2,7 @@
 
 import firstair.control.Controller.Outcome;
 import firstair.relay.clients.Submission;
+import firstair.relay.store.OpenMessage;
 import firstair.relay.store.PendingNotice;
 import firstair.relay.store.Store;
 import firstair.relay.store.StoredMessage;
@@ -61,7 +62,7 @@
     }
 
     /** The messages and notices that were pending when the last process ended. */
-    Collection<Store.OpenMessage> pendingAtStart() {
+    Collection<OpenMessage> pendingAtStart() {
         return store.open();
     }
 
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -20,6 +20,7 @@
 import firstair.relay.net.NetworkTransport;
 import firstair.relay.platform.Notices;
 import firstair.relay.store.BootClock;
+import firstair.relay.store.OpenMessage;
 import firstair.relay.store.PendingNotice;
 import firstair.relay.store.Store;
 import firstair.relay.store.StoredMessage;
@@ -288,7 +289,7 @@
         RateLimitedLogger unknownClassLog = new RateLimitedLogger(LOG, Level.WARNING); // one line for all classes
         double graceUntil = now + limits.notices().returnMs();
         long bootNow = clock.nowMs();
-        for (Store.OpenMessage pending : messages.pendingAtStart()) {
+        for (OpenMessage pending : messages.pendingAtStart()) {
             StoredMessage message = pending.message();
             if (pending.pendingNotice() != null) {
                 notices.add(message.id(), message.requestId(), pending.pendingNotice(), graceUntil);
--- a/src/main/java/firstair/relay/store/Store.java
+++ b/src/main/java/firstair/relay/store/Store.java
@@ -8,7 +8,6 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,49 +28,6 @@
     private static final long READ_RETRY_MS = 50;
     private static final long LOGGED_CLOCK_STEP_MS = 1000;
     private static final int DISK_RESERVE_BYTES = 8192; // not used for records: partly filled blocks, the folder
-    private static final int ATTEMPTS_RESERVE_BYTES = 1024; // reserved for the calls and the outcome of each message
-
-    /** A message that is not completed, with its calls and its notice. */
-    public static final class OpenMessage {
-        private StoredMessage message;
-        private long recordBytes; // upper bound for the record of the message itself
-        private final List<StoredAttempt> attempts = new ArrayList<>();
-        private PendingNotice pendingNotice;
-        private int attemptBytes; // size of the records of its calls
-
-        private OpenMessage(StoredMessage taken) {
-            setMessage(taken);
-        }
-
-        private void setMessage(StoredMessage current) {
-            message = current;
-            recordBytes = DelimiterFraming.maxFrameBytes(Records.maxAcceptedBytes(current));
-        }
-
-        /** The message; without its body once only its notice is pending. */
-        public StoredMessage message() {
-            return message;
-        }
-
-        /** The calls made so far. */
-        public List<StoredAttempt> attempts() {
-            return List.copyOf(attempts);
-        }
-
-        /** The notice that the platform has not confirmed yet, or null. */
-        public PendingNotice pendingNotice() {
-            return pendingNotice;
-        }
-
-        private void convertTimes(StoredTimes times) {
-            message = message.withDeadlineAt(times.deadlineAt(message.deadlineAt()));
-            attempts.replaceAll(t -> t.withSentAt(times.sentAt(t.sentAt())));
-        }
-
-        private long reservedBytes() {
-            return recordBytes + Math.max(ATTEMPTS_RESERVE_BYTES, attemptBytes);
-        }
-    }
 
     private final StateFolder folder;
     private final long diskBytes;
@@ -168,16 +124,15 @@
             public void attemptStarted(long id, StoredAttempt t) {
                 OpenMessage o = open.get(id);
                 if (o != null) {
-                    o.attempts.add(t);
-                    o.attemptBytes += maxFrameBytes(Records.attemptStarted(id, t));
+                    o.addAttempt(t);
                 }
             }
 
             @Override
             public void attemptEnded(long id, int attempt, boolean maybeRan) {
                 OpenMessage o = open.get(id);
-                if (o != null && attempt >= 0 && attempt < o.attempts.size()) {
-                    o.attempts.set(attempt, o.attempts.get(attempt).withMaybeRan(maybeRan));
+                if (o != null && o.hasAttempt(attempt)) {
+                    o.setMaybeRan(attempt, maybeRan);
                 }
             }
 
@@ -185,8 +140,7 @@
             public void pendingNotice(long id, PendingNotice owed) {
                 OpenMessage o = open.get(id);
                 if (o != null) {
-                    o.pendingNotice = owed;
-                    o.setMessage(o.message.withoutBody());
+                    o.setPendingNotice(owed);
                 }
             }
 
@@ -203,7 +157,7 @@
         framing = Framing.of(file);
         Framing.ReadResult found = framing.read(file, content -> Records.read(content, reader));
         size = file.length;
-        completeBytes = file.length - found.truncatedBytes();
+        completeBytes = size - found.truncatedBytes();
         StoredTimes times = new StoredTimes(fileClock[0], clock);
         open.values().forEach(o -> o.convertTimes(times));
         sameBoot = times.sameBoot();
@@ -239,10 +193,6 @@
         return new OpenMessage(t).reservedBytes();
     }
 
-    private static int maxFrameBytes(byte[] content) {
-        return (int) DelimiterFraming.maxFrameBytes(content.length);
-    }
-
     /** Records a message that is about to be accepted. */
     public void accept(StoredMessage t) {
         OpenMessage o = new OpenMessage(t);
@@ -254,7 +204,7 @@
     /** Number of recorded calls of a message, -1 if the message is completed. */
     public int attemptCount(long id) {
         OpenMessage o = open.get(id);
-        return o == null ? -1 : o.attempts.size();
+        return o == null ? -1 : o.attemptCount();
     }
 
     /**
@@ -265,20 +215,18 @@
     public int attemptStarted(long id, String endpoint, String zone, long sentAt) {
         OpenMessage o = open.get(id);
         StoredAttempt t = new StoredAttempt(endpoint, zone, sentAt, true);
-        byte[] content = Records.attemptStarted(id, t);
         reservedBytes -= o.reservedBytes();
-        o.attempts.add(t);
-        o.attemptBytes += maxFrameBytes(content);
+        o.addAttempt(t);
         reservedBytes += o.reservedBytes();
-        record(content);
-        return o.attempts.size() - 1;
+        record(Records.attemptStarted(id, t));
+        return o.attemptCount() - 1;
     }
 
     /** Records whether a call may have run. */
     public void attemptEnded(long id, int attempt, boolean maybeRan) {
         OpenMessage o = open.get(id);
-        if (o != null && attempt < o.attempts.size()) {
-            o.attempts.set(attempt, o.attempts.get(attempt).withMaybeRan(maybeRan));
+        if (o != null && o.hasAttempt(attempt)) {
+            o.setMaybeRan(attempt, maybeRan);
             record(Records.attemptEnded(id, attempt, maybeRan));
         }
     }
@@ -288,8 +236,7 @@
         OpenMessage o = open.get(id);
         if (o != null) {
             reservedBytes -= o.reservedBytes();
-            o.pendingNotice = owed;
-            o.setMessage(o.message.withoutBody());
+            o.setPendingNotice(owed);
             reservedBytes += o.reservedBytes();
             record(Records.pendingNotice(id, owed));
         }
@@ -447,13 +394,7 @@
         block.writeBytes(target.frame(Records.clock(StoredTimes.ClockReading.of(clock))));
         long written = 0;
         for (OpenMessage o : open.values()) {
-            block.writeBytes(target.frame(Records.accepted(o.message)));
-            for (StoredAttempt t : o.attempts) {
-                block.writeBytes(target.frame(Records.attemptStarted(o.message.id(), t)));
-            }
-            if (o.pendingNotice != null) {
-                block.writeBytes(target.frame(Records.pendingNotice(o.message.id(), o.pendingNotice)));
-            }
+            o.records().forEach(content -> block.writeBytes(target.frame(content)));
             if (block.size() >= DISK_RESERVE_BYTES) {
                 write(next, block.toByteArray());
                 written += block.size();
--- a/src/test/java/firstair/relay/store/EarlierFilesTest.java
+++ b/src/test/java/firstair/relay/store/EarlierFilesTest.java
@@ -53,7 +53,7 @@
         first.close();
         for (Store store : List.of(first, Store.open(folder, DISK, BootClock.SYSTEM))) {
             assertThat(ids(store)).containsExactly(1L, 3L);
-            Store.OpenMessage one = store.open().iterator().next();
+            OpenMessage one = store.open().iterator().next();
             assertThat(one.message().body()).containsExactly(0, 1, 2);
             assertThat(one.message().key()).isEqualTo("k1");
             assertThat(one.attempts()).containsExactly(new StoredAttempt("e1", null, 5, true));
--- a/src/test/java/firstair/relay/store/StoreClockTest.java
+++ b/src/test/java/firstair/relay/store/StoreClockTest.java
@@ -18,7 +18,7 @@
 
     private record Clocks(String boot, long nowMs, long wallMs) implements BootClock {}
 
-    private Store.OpenMessage reopened(String boot, long nowMs, long wallMs) throws IOException {
+    private OpenMessage reopened(String boot, long nowMs, long wallMs) throws IOException {
         return Store.open(folder, DISK, new Clocks(boot, nowMs, wallMs))
                 .open()
                 .iterator()
@@ -38,7 +38,7 @@
     void withinOneBootTheWallClockIsIgnored() throws IOException {
         for (long step : new long[] {0, 3_600_000, -3_600_000}) {
             writeFile();
-            Store.OpenMessage o = reopened("one", 506_000, WALL + 6_000 + step);
+            OpenMessage o = reopened("one", 506_000, WALL + 6_000 + step);
             assertThat(o.message().deadlineAt()).isEqualTo(520_000);
             assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", "z", 505_000, true));
             Files.delete(folder.resolve("messages-2.log"));
@@ -63,7 +63,7 @@
     void afterARebootCallsCountAsLongAgoAndNoDeadlineIsExtended() throws IOException {
         for (long step : new long[] {0, -3_600_000}) {
             writeFile();
-            Store.OpenMessage o = reopened("two", 40_000, WALL + 6_000 + step);
+            OpenMessage o = reopened("two", 40_000, WALL + 6_000 + step);
             assertThat(o.message().deadlineAt()).isBetween(40_000 + 14_000L, 40_000 + 20_000L);
             assertThat(o.attempts().get(0).sentAt()).isLessThan(40_000 - 24 * 3_600_000L);
             Files.delete(folder.resolve("messages-2.log"));
@@ -94,7 +94,7 @@
                 LengthFraming.INSTANCE.frame(
                         Records.attemptStarted(1, new StoredAttempt("e1", null, WALL + 5_000, true))),
                 java.nio.file.StandardOpenOption.APPEND);
-        Store.OpenMessage o = reopened("one", 900_000, WALL + 6_000);
+        OpenMessage o = reopened("one", 900_000, WALL + 6_000);
         assertThat(o.message().deadlineAt()).isEqualTo(900_000 + 14_000);
         assertThat(o.attempts().get(0).sentAt()).isLessThan(0);
     }
--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -42,7 +42,7 @@
         return sum;
     }
 
-    private static Store.OpenMessage only(Store store) {
+    private static OpenMessage only(Store store) {
         assertThat(store.open()).hasSize(1);
         return store.open().iterator().next();
     }
@@ -56,7 +56,7 @@
         s.attemptStarted(3, "e2", "z", 12);
         assertThat(s.flush()).isTrue();
 
-        Store.OpenMessage o = only(reopened());
+        OpenMessage o = only(reopened());
         assertThat(o.message()).usingRecursiveComparison().isEqualTo(message(3, 5));
         assertThat(o.attempts())
                 .containsExactly(new StoredAttempt("e1", "z", 11, false), new StoredAttempt("e2", "z", 12, true));
@@ -81,7 +81,7 @@
         s.accept(message(1, 5_000));
         s.setPendingNotice(1, new PendingNotice(true, 250));
         s.flush();
-        Store.OpenMessage o = only(reopened());
+        OpenMessage o = only(reopened());
         assertThat(o.pendingNotice()).isEqualTo(new PendingNotice(true, 250));
         assertThat(o.message().body()).isEmpty();
     }
@@ -208,7 +208,7 @@
         for (byte[] odd : List.of(taken, ended)) {
             Files.write(file, DelimiterFraming.INSTANCE.frame(odd), java.nio.file.StandardOpenOption.APPEND);
         }
-        Store.OpenMessage o = only(reopened());
+        OpenMessage o = only(reopened());
         assertThat(o.message().id()).isEqualTo(1);
         assertThat(o.attempts()).containsExactly(new StoredAttempt("e1", "z", 11, true));
     }
