A test of messages with long ids at the store's limit

Cause: the store counted every head as 512 bytes before, which no test showed. Change: StoreTest fills a store with messages whose ids and keys have 4,000 characters of two bytes each.

--- a/src/test/java/firstair/relay/store/StoreTest.java
+++ b/src/test/java/firstair/relay/store/StoreTest.java
@@ -274,6 +274,23 @@
         assertThat(onDisk()).isLessThanOrEqualTo(DISK / 2);
     }
 
+    /** Guards against a limit that counted each message's ids and key as 512 bytes, whatever their length. */
+    @Test
+    void messagesWithLongIdsStayWithinTheDiskLimit() throws IOException {
+        Store s = reopened();
+        for (int id = 0; id < 100; id++) {
+            String text = "\u00e9".repeat(4_000) + id;
+            StoredMessage message = new StoredMessage(id, text, "order", 7, text, 1_000, false, false, new byte[0]);
+            if (s.fits(Store.spaceFor(message))) {
+                s.accept(message);
+            }
+            assertThat(s.flush()).isTrue();
+            assertThat(onDisk()).isLessThanOrEqualTo(DISK / 2);
+        }
+        assertThat(s.open()).isNotEmpty();
+        assertThat(reopened().open()).hasSameSizeAs(s.open());
+    }
+
     @Test
     void oldAndNewFileTogetherStayWithinTheDiskLimit() throws IOException {
         Store s = reopened();
