A file that the build before wrote is opened by a test

Cause: EarlierFilesTest made its files with today's classes, so a change to both would not show. No change to the program.

--- a/src/test/java/firstair/relay/store/EarlierFilesTest.java
+++ b/src/test/java/firstair/relay/store/EarlierFilesTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Base64;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -15,9 +16,37 @@
 class EarlierFilesTest {
     private static final long DISK = 200_000;
 
+    /** Written by the build of 75135e2: five messages, of which the last is completed, with attempts and notices. */
+    private static final String EARLIER_BUILD =
+            "8aEAAAAetHjduQUAAAAAAAAAAAADb25lAAAAAAAHoSAAAAGLz+VoAPGhAAAAL1513GoAAAAAAAAAAAEAAnIxAAVvcm"
+                    + "RlcgAAAAcBAAJrMQAAAAAACIuAAAAAAAAEAAHxofGhAAAALZrU4WEAAAAAAAAAAAIAAnIyAAVvcmRlcgAAAAcAAAAA"
+                    + "AAAAAAiLgAAAAAAABAAC8aHxoQAAAC+vpzRHAAAAAAAAAAADAAJyMwAFb3JkZXIAAAAHAQACazMAAAAAAAiLgAEAAA"
+                    + "AABAAD8aHxoQAAAC1upoUDAAAAAAAAAAAEAAJyNAAFb3JkZXIAAAAHAAAAAAAAAAAIi4AAAQAAAAQABPGh8aEAAAAv"
+                    + "K3z7egAAAAAAAAAABQACcjUABW9yZGVyAAAABwEAAms1AAAAAAAIi4AAAAAAAAQABfGh8aEAAAAWUsbohQEAAAAAAA"
+                    + "AAAQACZTEAAAAAAAehIAHxoQAAAA4xVfZkAgAAAAAAAAABAAAAAADxoQAAABYK0BKbAQAAAAAAAAABAAJlMgAAAAAA"
+                    + "B6EgAfGhAAAAEr/AxW4DAAAAAAAAAAIBQG9AAAAAAADxoQAAABL7877eAwAAAAAAAAAEAAAAAAAAAAAA8aEAAAAJUN"
+                    + "u+jAQAAAAAAAAABQ==";
+
     @TempDir
     private Path folder;
 
+    private static final BootClock SAME_BOOT = new BootClock() {
+        @Override
+        public String boot() {
+            return "one";
+        }
+
+        @Override
+        public long nowMs() {
+            return 510_000;
+        }
+
+        @Override
+        public long wallMs() {
+            return 1_700_000_010_000L;
+        }
+    };
+
     private static byte[] earlier(byte[]... contents) {
         ByteArrayOutputStream file = new ByteArrayOutputStream();
         file.writeBytes(LengthFraming.INSTANCE.frame(Records.clock(StoredTimes.ClockReading.of(BootClock.SYSTEM))));
@@ -40,6 +69,31 @@
         return store.open().stream().map(o -> o.message().id()).toList();
     }
 
+    /** A folder of the build before the present framing: messages, attempts and notices are kept by two starts. */
+    @Test
+    void aFileOfAnEarlierBuildIsReadWhole() throws IOException {
+        Files.write(folder.resolve("messages-1.log"), Base64.getDecoder().decode(EARLIER_BUILD));
+        for (int start = 1; start <= 2; start++) {
+            Store store = Store.open(folder, DISK, SAME_BOOT);
+            List<OpenMessage> open = List.copyOf(store.open());
+            assertThat(ids(store)).containsExactly(1L, 2L, 3L, 4L);
+            assertThat(open.get(0).message())
+                    .usingRecursiveComparison()
+                    .isEqualTo(new StoredMessage(
+                            1, "r1", "order", 7, "k1", 560_000, false, false, new byte[] {0, 1, -15, -95}));
+            assertThat(open.get(0).attempts())
+                    .containsExactly(
+                            new StoredAttempt("e1", null, 500_000, false),
+                            new StoredAttempt("e2", null, 500_000, true));
+            assertThat(open.get(1).pendingNotice()).isEqualTo(new PendingNotice(true, 250));
+            assertThat(open.get(2).message().resubmitted()).isTrue();
+            assertThat(open.get(2).attempts()).isEmpty();
+            assertThat(open.get(3).pendingNotice()).isEqualTo(new PendingNotice(false, 0));
+            assertThat(open.get(3).message().fromCrashedRelay()).isTrue();
+            store.close();
+        }
+    }
+
     @Test
     void everythingPendingIsReadAndKeptByTheNextStarts() throws IOException {
         byte[] file = earlier(
