--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -506,6 +506,8 @@
     final class Platform extends Server {
         volatile double listDelayMs; // before a call for the list is answered
         volatile boolean down; // calls for the list end with 503
+        volatile double crowdedUntil; // calls for the list that come before wait too long and end with 503
+        volatile double crowdedWaitMs; // how long they wait
 
         Platform() throws IOException {
             super(0);
@@ -544,10 +546,10 @@
                     socket.getOutputStream().write(ascii("HTTP/1.1 204 x\r\n\r\n"));
                     continue;
                 }
-                if (listDelayMs > 0) {
-                    pause(listDelayMs);
-                }
-                if (down) {
+                boolean crowded = now() < crowdedUntil;
+                pause(crowded ? crowdedWaitMs : listDelayMs);
+                if (down || crowded) {
+                    log("a call for the list ends with 503");
                     socket.getOutputStream().write(ascii("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"));
                     continue;
                 }
