Review case 9: a late connection lets others of its turn repeat outside their window

Cause: calls that are split for their size share one time of sending in Control, which a late connection among them sets anew. Change: the case, and a listener whose new connections come up late. Found by feeding the decisions drawn events in memory, in which the calls of one turn were written at different times.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-2.sh" 9 LateConnectionBesideAnother
--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -197,12 +197,18 @@
     abstract static class Server {
         final int port;
         final Set<Socket> open = ConcurrentHashMap.newKeySet();
+        private final List<Socket> fillers = new ArrayList<>();
+        private volatile boolean stalled;
         private ServerSocket listener;
 
         Server(int wanted) throws IOException {
+            this(wanted, 200);
+        }
+
+        Server(int wanted, int queue) throws IOException {
             listener = new ServerSocket();
             listener.setReuseAddress(true);
-            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted), 200);
+            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wanted), queue);
             port = listener.getLocalPort();
             accept(listener);
         }
@@ -213,6 +219,9 @@
             thread(() -> {
                 while (true) {
                     Socket socket = from.accept();
+                    while (stalled) {
+                        pause(1);
+                    }
                     socket.setTcpNoDelay(true);
                     open.add(socket);
                     thread(() -> {
@@ -228,6 +237,33 @@
             });
         }
 
+        /**
+         * From now on the system drops what begins a new connection, since the queue of those that wait to be accepted
+         * is full; who connects tries again 1 s later. Open connections stay. The listener needs a short queue.
+         */
+        void stall() throws IOException {
+            stalled = true;
+            for (int dropped = 0; dropped < 3; ) { // the thread that accepts may take one more
+                Socket filler = new Socket();
+                try {
+                    filler.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
+                    fillers.add(filler);
+                    dropped = 0;
+                } catch (SocketTimeoutException e) {
+                    filler.close();
+                    dropped++;
+                }
+            }
+        }
+
+        /** Ends {@link #stall}. */
+        void release() throws IOException {
+            stalled = false;
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+
         /** Refuses new connections from now on; open ones stay. */
         void stopListening() throws IOException {
             listener.close();
@@ -383,12 +419,13 @@
         volatile Behaviour behaviour;
 
         Endpoint(String id, String zone, String kind, int cell, Behaviour behaviour) throws IOException {
-            this(id, zone, kind, cell, behaviour, 0);
+            this(id, zone, kind, cell, behaviour, 0, 200);
         }
 
-        /** An endpoint at the port of another one that has gone. */
-        Endpoint(String id, String zone, String kind, int cell, Behaviour behaviour, int atPort) throws IOException {
-            super(atPort);
+        /** An endpoint at the port of another one that has gone, or with a short queue. */
+        Endpoint(String id, String zone, String kind, int cell, Behaviour behaviour, int atPort, int queue)
+                throws IOException {
+            super(atPort, queue);
             this.id = id;
             this.zone = zone;
             this.kind = kind;
@@ -445,7 +482,7 @@
     }
 
     Endpoint endpoint(String id, int cell, Behaviour behaviour, int atPort) throws IOException {
-        return new Endpoint(id, "here", "small", cell, behaviour, atPort);
+        return new Endpoint(id, "here", "small", cell, behaviour, atPort, 200);
     }
 
     // ---- discovery and the platform ----
