Review: cases 6 to 9 say 2 where their disruption did not come about

Cause: a virtual machine that does not start ends with 1, which was taken for a broken rule. Change: statuses of their own; cases 7 and 9 say 2 where the folder was not full or no connection was late; a script that is ended ends its relays; the class of case 9 keeps order, as the site's does.

--- a/review/run-2.sh
+++ b/review/run-2.sh
@@ -6,9 +6,16 @@
     echo "not built: the build of deploy/balancer.toml and review/build-2.sh come first" >&2
     exit 2
 fi
-java -cp target/review-2 "$2" "review/$1"
+java -cp target/review-2 "$2" "review/$1" &
+case_pid=$!
+trap 'kill "$case_pid"' TERM INT HUP # it ends its relays
+wait "$case_pid"
 status=$?
+trap - TERM INT HUP
+wait "$case_pid" 2> /dev/null # where a signal has ended the first wait
+# Statuses of their own, which a virtual machine that does not start cannot have.
 case $status in
-0 | 1) exit $status ;;
+20) exit 0 ;;
+21) exit 1 ;;
 *) exit 2 ;;
 esac
--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -32,13 +32,13 @@
 
 /**
  * Stand-ins for the peers of a relay, and relays as processes of their own, for the scripts of the review. A case runs
- * from the root of the repository; TROUBLE=0 in the environment leaves its disruption out. Statuses: 0 the rule held, 1
- * it was broken, 2 the case could not run.
+ * from the root of the repository; TROUBLE=0 in the environment leaves its disruption out. The statuses are those that
+ * run-2.sh expects.
  */
 final class Lab {
-    static final int HELD = 0;
-    static final int BROKEN = 1;
-    static final int COULD_NOT_RUN = 2;
+    static final int HELD = 20;
+    static final int BROKEN = 21;
+    static final int COULD_NOT_RUN = 22;
 
     private static final long ORIGIN = System.nanoTime();
 
@@ -298,10 +298,6 @@
         }
     }
 
-    private interface Task {
-        Object run() throws Exception;
-    }
-
     static void thread(java.util.concurrent.Callable<Object> task) {
         Thread thread = new Thread(() -> {
             try {
@@ -658,6 +654,7 @@
                     .put("ROUTER_CONFIG", home.resolve("config.json").toString());
             builder.environment().put("ROUTER_STATE", home.resolve("state").toString());
             builder.environment().put("TMPDIR", temporary.toString());
+            builder.environment().remove("FIRSTAIR_SETTINGS");
             builder.redirectErrorStream(true);
             process = builder.start();
             InputStream out = process.getInputStream();
@@ -699,7 +696,9 @@
 
         void signal(String signal) throws Exception {
             log("%s gets %s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+            new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
+                    .start()
+                    .waitFor();
         }
 
         /** SIGKILL; returns once the process is gone. */
@@ -715,12 +714,18 @@
         private void destroy() {
             if (process != null) {
                 process.destroyForcibly();
+                try {
+                    process.waitFor(2, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
             }
         }
     }
 
     private static String runCommand() throws IOException {
-        Matcher found = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        String deploy = Files.readString(Path.of("deploy/balancer.toml"));
+        Matcher found = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(deploy);
         if (!found.find()) {
             throw new IOException("no run command in the deploy file");
         }
--- a/review/standin-2/LateConnectionBesideAnother.java
+++ b/review/standin-2/LateConnectionBesideAnother.java
@@ -6,9 +6,10 @@
 
 /**
  * Orders of 40 KB wait for a partner that takes several messages in a call and has told a short wait. They are too large
- * to share a call, so when the wait is over each travels alone: some on kept connections, at once, two on new connections that come up 1 s late. The first ones
- * run, and are reset 1.35 s after they came. Right behind them the partner shuts for 6 s and tells when it opens, which
- * is just after the time for which it drops repeats. Nothing that may have run may be sent again by then.
+ * to share a call, so when the wait is over each travels alone: most of them at once, on kept connections, one or two on
+ * new connections that come up 1 s late. The first ones run, and are reset 1.35 s after they came. Right behind them the
+ * partner shuts for 6 s and tells when it opens, which is just after the time for which it drops repeats. Nothing that
+ * may have run may be sent again by then.
  */
 final class LateConnectionBesideAnother {
     private static final int WINDOW_MS = 6000;
@@ -80,7 +81,8 @@
         settings.connIdleMs = 15_000;
         settings.connectTimeoutMs = 1500;
         settings.drainGraceMs = 2000;
-        settings.messageClass("release-order", "dedup", "all", 2500, 24_000, WINDOW_MS, false);
+        settings.settleMs = 100;
+        settings.messageClass("release-order", "dedup", "all", 2500, 24_000, WINDOW_MS, true);
         Lab.Relay relay = lab.new Relay("n1", platform, settings.json());
         relay.start();
         usualTraffic(lab, relay);
@@ -155,7 +157,7 @@
         synchronized (lab.calls) {
             for (Lab.Call call : lab.calls) {
                 double since = call.at - begun;
-                boolean order = call.items.get(0).id().startsWith("order");
+                boolean order = call.items.get(0).id().matches("order\\d+"); // not the one that was told a wait
                 prompt += order && since >= 0 && since < SHUT_AT_MS ? 1 : 0;
                 late += order && since >= SHUT_AT_MS && since < RESET_AT_MS ? 1 : 0;
                 for (Lab.Item item : call.items) {
@@ -175,6 +177,9 @@
             }
         }
         lab.log("%d calls came at once, %d late; %d repeats outside the window", prompt, late, repeats);
+        if (prompt == 0 || lab.trouble && late == 0) {
+            return Lab.COULD_NOT_RUN;
+        }
         return repeats > 0 ? Lab.BROKEN : Lab.HELD;
     }
 }
--- a/review/standin-2/RefusalAfterALostMachine.java
+++ b/review/standin-2/RefusalAfterALostMachine.java
@@ -76,6 +76,9 @@
         Lab.pause(lostAt + COMES_AGAIN_MS - 200 - Lab.now());
         int refused = clump(lab, relays.get(1));
         lab.log("%d of %d messages of the clump were refused", refused, CLUMP);
+        if (refused == 0) {
+            return Lab.COULD_NOT_RUN; // the folder was not full
+        }
         if (lab.trouble) {
             handInAgain(lab, relays.get(1), first, body, lostAt);
         }
--- a/review/standin-2/RestartAtOldAddresses.java
+++ b/review/standin-2/RestartAtOldAddresses.java
@@ -3,8 +3,8 @@
 
 /**
  * A relay dies and comes back after 6 s with the list that it held last. Meanwhile two of five endpoints have been
- * drained and replaced by new ones; that of partner 2 listens at the address where that of partner 1 was. No message for
- * partner 1 may be sent to an endpoint of partner 2.
+ * drained and replaced by new ones; that of partner 2 listens at the address where that of partner 1 was. No message
+ * for partner 1 may be sent to an endpoint of partner 2.
  */
 final class RestartAtOldAddresses {
     private static final double DISCOVERY_MS = 100; // for each call, with the disruption and without it
@@ -78,7 +78,11 @@
             for (Lab.Call call : lab.calls) {
                 for (Lab.Item item : call.items) {
                     if (item.id().startsWith("order") && call.endpoint.cell != 1) {
-                        lab.log("call %d: %s is for partner 1, %s is of partner 2", call.number, item.id(), call.endpoint.id);
+                        lab.log(
+                                "call %d: %s is for partner 1, %s is of partner 2",
+                                call.number,
+                                item.id(),
+                                call.endpoint.id);
                         wrong++;
                     }
                 }
--- a/review/standin-2/Settings.java
+++ b/review/standin-2/Settings.java
@@ -38,7 +38,8 @@
     }
 
     String json() {
-        return "{\"groupSize\":" + groupSize + ",\"slotNo\":" + slot + ",\"az\":" + zone + ",\"azs\":[" + zones + "],\"discovery\":\"" + discovery
+        return "{\"groupSize\":" + groupSize + ",\"slotNo\":" + slot + ",\"az\":" + zone + ",\"azs\":[" + zones
+                + "],\"discovery\":\"" + discovery
                 + "\",\"quantum\":5.0,\"weightKind\":\"none\",\"shapes\":[" + kinds + "],\"classes\":["
                 + String.join(",", classes) + "],\"familyInfo\":{\"bundleMax\":[" + bundleMax + "],\"kindApart\":["
                 + apart + "],\"late\":\"halving\",\"maxCalls\":" + maxCalls + "},\"loadReport\":{\"how\":" + reports
