--- a/review/standin-2/RefusalAfterALostMachine.java
+++ b/review/standin-2/RefusalAfterALostMachine.java
@@ -12,6 +12,7 @@
     private static final int CLUMP = 30;
     private static final double ANSWER_MS = 450;
     private static final long DEADLINE_MS = 16_000;
+    private static final double BACK_AFTER_MS = 5000; // the relay, with an empty folder
     private static final double COMES_AGAIN_MS = 1000; // after the loss
     private static final double CLIENT_PAUSE_MS = 1000; // after a refusal
     private static final double USUAL_PAUSE_MS = 70; // between the usual messages to each relay
@@ -71,7 +72,7 @@
         }
         double lostAt = Lab.now();
         if (lab.trouble) {
-            relays.get(0).kill(); // and its folder is never read again
+            relays.get(0).kill(); // and its folder is lost
         }
         Lab.pause(lostAt + COMES_AGAIN_MS - 200 - Lab.now());
         int refused = clump(lab, relays.get(1));
@@ -82,7 +83,12 @@
         if (lab.trouble) {
             handInAgain(lab, relays.get(1), first, body, lostAt);
         }
-        Lab.pause(6000);
+        if (lab.trouble) {
+            Lab.pause(lostAt + BACK_AFTER_MS - Lab.now());
+            relays.get(0).loseFolder();
+            relays.get(0).start();
+        }
+        Lab.pause(lostAt + 6500 - Lab.now());
         return judge(lab);
     }
 
