A message that may have run elsewhere is given up where another is refused

Cause: the doubt is known to Control alone. A submission that does not get that far was refused in seven other places (no room, failed write, exception, client gone, unknown destination, fleet's terms, end of the process), and none of them looked at the mark.

Change: the status is decided where every response is written (ClientConnection.respond): a request with that mark, read wholly or in part, gets 504 wherever another gets 429 or 503. 504 promises nothing, so its client does not hand it in as a new one.

--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -25,6 +25,8 @@
     private static final byte[] NO_BYTES = new byte[0];
     private static final String BOOKINGS_PATH = "/-/bookings/";
     private static final Set<String> BOOKING_METHODS = Set.of("GET", "PUT", "DELETE");
+    private static final Set<Integer> REFUSALS = Set.of(429, 503); // they promise that the message has not run
+    private static final int GIVEN_UP = 504; // promises nothing
 
     private enum Phase {
         OPEN,
@@ -41,6 +43,7 @@
     private boolean receivedAny;
     private Phase phase = Phase.OPEN;
     private boolean requestPending; // a request awaits its response
+    private boolean mayHaveRun; // the message of the current request, at a relay that failed
     private boolean inputEnded; // the client sends nothing more, but may still read
     private boolean closeAfterResponse;
     private boolean draining;
@@ -66,6 +69,12 @@
         trace("accepted");
         this.parser =
                 new HttpParser(HttpParser.Kind.REQUEST, limits.maxHead(), limits.maxBody(), new MessageCollector() {
+                    @Override
+                    public void header(String name, String value) {
+                        mayHaveRun |=
+                                name.equals(SubmissionFields.CLIENT_RETRY) && SubmissionFields.isFromFailedRelay(value);
+                    }
+
                     @Override
                     public void head(MessageHead head) {
                         super.head(head);
@@ -204,6 +213,9 @@
     }
 
     /**
+     * Responds to the current request. Whatever the reason, a message that may have run is never refused, which would
+     * promise that it has not: it is given up.
+     *
      * @param retryAfterMs milliseconds for {@code Retry-After}, or 0 to leave the header out
      * @param reason       one line of text for {@code X-Reason}, or null
      * @param json         the response body, or no bytes
@@ -212,6 +224,10 @@
         if (phase != Phase.OPEN || !requestPending) {
             return;
         }
+        if (mayHaveRun && REFUSALS.contains(status)) {
+            respond(GIVEN_UP, 0, reason, json);
+            return;
+        }
         if (pendingWrites > 0) {
             close(); // the client does not read its responses, which would fill the memory
             return;
@@ -240,6 +256,7 @@
         byte[] bytes = response.withBody(json);
         trace(status + (close ? ", closing after this response" : ""));
         requestPending = false;
+        mayHaveRun = false;
         served = true;
         idleSince = requests.now();
         if (close) {
--- a/src/main/java/firstair/relay/clients/Submission.java
+++ b/src/main/java/firstair/relay/clients/Submission.java
@@ -70,7 +70,7 @@
     }
 
     /**
-     * Responds.
+     * Responds. A message {@link #fromCrashedRelay} is given up where the status would refuse it.
      *
      * @param retryAfterMs milliseconds for {@code Retry-After}, or 0 to leave the header out
      */
--- a/src/main/java/firstair/relay/clients/SubmissionFields.java
+++ b/src/main/java/firstair/relay/clients/SubmissionFields.java
@@ -1,6 +1,7 @@
 package firstair.relay.clients;
 
 import firstair.relay.http.MessageHead;
+import java.util.Arrays;
 import java.util.Locale;
 
 /**
@@ -28,6 +29,7 @@
         String booking) {
 
     static final String REQUEST_ID = "request-id";
+    static final String CLIENT_RETRY = "client-retry";
 
     private static final int MAX_WORD_CHARS = 128;
     private static final int MAX_DIGITS = 15;
@@ -50,19 +52,25 @@
         if (key == null ? requests.keyed(messageClass) : !isWord(key)) {
             return null;
         }
-        String retry = String.valueOf(head.header("client-retry")).trim().toLowerCase(Locale.ROOT);
+        String retry = String.valueOf(head.header(CLIENT_RETRY));
         return new SubmissionFields(
                 id,
                 messageClass,
                 (int) destination,
                 key,
                 timeoutMs,
-                retry.equals("1"),
-                retry.equals("again"),
+                retry.trim().equals("1"),
+                isFromFailedRelay(retry),
                 addressingValue(addressing, "tenant="),
                 addressingValue(addressing, "booking="));
     }
 
+    /** Whether a value of {@link #CLIENT_RETRY} says that a relay had the message and failed; it may have run there. */
+    static boolean isFromFailedRelay(String clientRetry) {
+        return Arrays.stream(clientRetry.toLowerCase(Locale.ROOT).split(","))
+                .anyMatch(mark -> mark.trim().equals("again"));
+    }
+
     /** Whether a text can be one word in the header lines of a call with several messages. */
     static boolean isWord(String text) {
         return !text.isEmpty()
--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -21,7 +21,10 @@
         /** The status line of a final (not interim) response; the rest of it may still turn out to be invalid. */
         default void status(int status) {}
 
-        /** A header line of a final response, its name in lower case; the rest may still turn out to be invalid. */
+        /**
+         * A header line of a request or a final response, its name in lower case; the rest may still turn out to be
+         * invalid.
+         */
         default void header(String name, String value) {}
 
         /** Start line and headers are complete. */
@@ -236,15 +239,19 @@
         String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
         String value = text.substring(colon + 1).trim();
         headers.merge(name, value, (a, b) -> a + "," + b);
-        if (kind == Kind.ANSWER && startLine[1].charAt(0) != '1') {
+        if (!isInterimResponse()) {
             sink.header(name, value);
         }
     }
 
+    private boolean isInterimResponse() {
+        return kind == Kind.ANSWER && startLine[1].charAt(0) == '1';
+    }
+
     private boolean endHead() throws HttpException {
         String transferCoding = headers.get("transfer-encoding");
         String contentLength = headers.get("content-length");
-        if (kind == Kind.ANSWER && startLine[1].charAt(0) == '1') {
+        if (isInterimResponse()) {
             headers = new LinkedHashMap<>();
             state = State.START; // the response follows; maxHead applies to it and its interim responses together
             return false;
--- a/src/test/java/firstair/relay/clients/ClosingTest.java
+++ b/src/test/java/firstair/relay/clients/ClosingTest.java
@@ -44,6 +44,8 @@
     private static final String MESSAGE_HEAD = "POST /api HTTP/1.1\r\nRequest-Id: m\r\nRequest-Class: safe\r\n"
             + "Request-Timeout-Ms: 9000\r\nX-Addressing: dest=7\r\nContent-Length: 1\r\n\r\n";
     private static final String MESSAGE = MESSAGE_HEAD + "x";
+    /** Of a relay that failed, where the message may have run. */
+    private static final String RESCUED_HEAD = MESSAGE_HEAD.replace("Request-Id", "Client-Retry: again\r\nRequest-Id");
 
     /** Accepts every message, at once or when the test answers it. */
     private static final class RecordingHandler implements RequestHandler {
@@ -619,6 +621,45 @@
         }
     }
 
+    /** Guards against review case 7 at the end of the process, where a promise that it has not run may be wrong. */
+    @Test
+    void atTheEndAMessageOfAFailedRelayIsNotRefused() throws Exception {
+        serve(0);
+        handler.deferring = true;
+        try (Socket pending = client();
+                Socket partial = client();
+                Socket partialHead = client()) {
+            send(pending, RESCUED_HEAD + "x");
+            send(partial, RESCUED_HEAD);
+            send(partialHead, RESCUED_HEAD.substring(0, RESCUED_HEAD.length() - 2));
+            handler.waiting.take();
+            Await.until("everything to be read", () -> read.get() == 3L * RESCUED_HEAD.length() - 1);
+            filter.refusePending();
+            for (Socket client : Arrays.asList(pending, partial, partialHead)) {
+                assertThat(statuses(client)).containsExactly("504");
+            }
+        }
+    }
+
+    /** Guards against the same for a client that has ended its output; what follows on a connection is judged apart. */
+    @ParameterizedTest
+    @ValueSource(ints = {429, 503})
+    void aRefusalOfAMessageOfAFailedRelayBecomesAFailure(int status) throws Exception {
+        serve(0);
+        handler.deferring = true;
+        try (Socket client = client()) {
+            send(client, RESCUED_HEAD + "x" + MESSAGE);
+            client.shutdownOutput();
+            Submission rescued = handler.waiting.take();
+            Await.until("gone", rescued::clientGone);
+            rescued.respond(status, 500);
+            String head = head(client);
+            assertThat(head).startsWith("HTTP/1.1 504").doesNotContain("Retry-After");
+            handler.waiting.take().respond(status, 0);
+            assertThat(statuses(client)).containsExactly(String.valueOf(status));
+        }
+    }
+
     /** Requests that are pending, partly received or may be on their way are refused; an idle connection just ends. */
     @Test
     void atTheEndEveryRequestThatNeedsAResponseIsRefused() throws Exception {
