Messages too large to share a call are decided as calls of their own

Cause: Control joined the messages of a turn to one call by their number alone, CallBatches split it by bytes into several. To Control they stayed one call with one time of sending. A late connection of one of them moved that time, and with it the window of messages that another one had carried a second before.

Change: a message tells Control its bytes; where they do not fit, another call begins, by the rule of CallBatches. So the time, slot, rate token, weight in a slow start, trial, wait, result and connection of a call belong to one real call.

Control's other tests pass.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -172,6 +172,7 @@
         double sentAt, timeoutMs;
         double maxTimeoutMs = INFINITE; // the longest that all its messages permit
         int messages, unanswered;
+        int bytes; // of its messages
         boolean trial, recorded;
         BookedCapacity bookedCalls; // calls booked for its messages, null for none
         boolean reused, longIdle; // its connection: was used before; was idle for long
@@ -1106,7 +1107,7 @@
                 continue;
             }
             boolean joins = canJoin(now, endpoint, pending),
-                    nextRound = !joins && callHasRoom(now, endpoint) && !postpone(now + TICK_MS);
+                    nextRound = !joins && callHasRoom(now, endpoint, pending) && !postpone(now + TICK_MS);
             if (!joins && (!slot || nextRound || !mayCall(now, endpoint, pending.bookedCalls))) {
                 continue;
             }
@@ -1126,16 +1127,20 @@
         }
     }
 
-    /** Whether a call of this round has room; what cannot join it is sent there in another round. */
-    private static boolean callHasRoom(double now, Endpoint endpoint) {
+    /** Whether a call of this round has room for a message; without room, the host makes another call. */
+    private static boolean callHasRoom(double now, Endpoint endpoint, Pending pending) {
         Call call = endpoint.latestCall;
-        return call != null && call.sentAt == now && !call.trial && call.messages < endpoint.kind.maxBatch();
+        return call != null
+                && call.sentAt == now
+                && !call.trial
+                && call.messages < endpoint.kind.maxBatch()
+                && call.bytes + pending.message.bytes() <= MAX_SHARED_CALL_BYTES;
     }
 
     /** A call has one time-out; a message that joins must not shorten it, nor need a longer one itself. */
     private boolean canJoin(double now, Endpoint endpoint, Pending pending) {
         Call call = endpoint.latestCall;
-        if (!callHasRoom(now, endpoint) || call.bookedCalls != pending.bookedCalls) {
+        if (!callHasRoom(now, endpoint, pending) || call.bookedCalls != pending.bookedCalls) {
             return false;
         }
         double most = maxTimeout(now, pending),
@@ -1258,6 +1263,7 @@
         call.maxTimeoutMs = Math.min(call.maxTimeoutMs, maxTimeout(now, pending));
         call.messages++;
         call.unanswered++;
+        call.bytes += pending.message.bytes();
         if (endpoint.inSlowStart()) {
             endpoint.owedCalls = call.messages == 1 ? 1 : endpoint.owedCalls + EXTRA_MESSAGE_COST;
             endpoint.slowStartCallAt = now;
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -9,6 +9,8 @@
  * A setting without a value is 0, false or empty, and then imposes nothing.
  */
 public interface Controller {
+    /** Most bytes of a call that several messages share; from the protocol. A message alone may have any size. */
+    int MAX_SHARED_CALL_BYTES = 64 * 1024;
 
     /** Whether a message may be sent more than once: always, with its key, or never. */
     enum Effect {
@@ -167,6 +169,7 @@
      * A message accepted by this relay, or resumed after a restart with its {@code earlierAttempts}, in order.
      * {@code resubmitted} and {@code fromDeadRelay} say that it may have a history that this relay never saw: its
      * client submits it again, or the relay that had it died. {@code workMs} is an estimate of its work, 0 if none.
+     * {@code bytes} is what it takes of a shared call, 0 if calls have no bytes.
      */
     record Message(
             long id,
@@ -177,7 +180,32 @@
             double workMs,
             boolean resubmitted,
             boolean fromDeadRelay,
-            List<EarlierAttempt> earlierAttempts) {}
+            List<EarlierAttempt> earlierAttempts,
+            int bytes) {
+        /** A message without bytes. */
+        public Message(
+                long id,
+                int messageClass,
+                int destination,
+                String key,
+                double deadlineAt,
+                double workMs,
+                boolean resubmitted,
+                boolean fromDeadRelay,
+                List<EarlierAttempt> earlierAttempts) {
+            this(
+                    id,
+                    messageClass,
+                    destination,
+                    key,
+                    deadlineAt,
+                    workMs,
+                    resubmitted,
+                    fromDeadRelay,
+                    earlierAttempts,
+                    0);
+        }
+    }
 
     /** What a destination reported of its limit; NaN if nothing. */
     record Load(double allowanceLeft, double limitPerS) {
@@ -231,7 +259,9 @@
     interface Actions {
         /**
          * Sends a message to an endpoint; {@code last} if the connection is not to be kept afterwards. Messages for one
-         * endpoint in one round share calls in this order; a call has the longest time-out of its messages.
+         * endpoint in one round share calls in this order: each joins the call of the one before it unless that call
+         * has {@link Kind#maxBatch} messages, or would exceed {@link #MAX_SHARED_CALL_BYTES}. The controller counts
+         * calls in the same way. A call has the longest time-out of its messages.
          */
         void send(long id, String endpoint, double timeoutMs, boolean last);
 
--- a/src/main/java/firstair/kit/standin/StandIn.java
+++ b/src/main/java/firstair/kit/standin/StandIn.java
@@ -8,8 +8,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -70,11 +73,17 @@
         void handle(Request request) throws IOException;
     }
 
+    private static final int BACKLOG = 50;
+    private static final int FILLER_CONNECT_MS = 50; // on the loopback address it takes less if there is room
+    private static final int HOLD_POLL_MS = 1;
+
     private final ServerSocket server;
     private final Handler handler;
     private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger acceptedCount = new AtomicInteger();
+    private final List<Socket> queueFillers = new ArrayList<>();
     private volatile Consumer<Socket> onConnectionEnd = socket -> {};
+    private volatile boolean holding; // accepts no connection
 
     /** Listens on a free port of the loopback address. */
     public StandIn(Handler handler) throws IOException {
@@ -83,10 +92,15 @@
 
     /** Listens on a given port of the loopback address. */
     public StandIn(int port, Handler handler) throws IOException {
+        this(port, BACKLOG, handler);
+    }
+
+    /** Listens on a given port of the loopback address; so many connections may wait to be accepted. */
+    public StandIn(int port, int backlog, Handler handler) throws IOException {
         this.handler = handler;
         server = new ServerSocket();
         server.setReuseAddress(true);
-        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
         start(this::accept);
     }
 
@@ -100,12 +114,45 @@
         try {
             while (true) {
                 Socket socket = server.accept();
+                while (holding) {
+                    Thread.sleep(HOLD_POLL_MS);
+                }
                 acceptedCount.incrementAndGet();
                 openSockets.add(socket);
                 start(() -> serve(socket));
             }
         } catch (IOException e) {
             // the listener has been closed
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Fills the queue of connections that wait to be accepted, which should be short. The system drops further attempts
+     * to connect, and a peer repeats them a second later. Open connections are not affected.
+     */
+    public void holdNewConnections() throws IOException {
+        holding = true;
+        int dropped = 0;
+        while (dropped < 2) { // the accepting thread may still take one
+            Socket filler = new Socket();
+            try {
+                filler.connect(address(), FILLER_CONNECT_MS);
+                queueFillers.add(filler);
+                dropped = 0;
+            } catch (SocketTimeoutException e) {
+                filler.close();
+                dropped++;
+            }
+        }
+    }
+
+    /** Accepts connections again after {@link #holdNewConnections}. */
+    public void acceptNewConnections() throws IOException {
+        holding = false;
+        for (Socket filler : queueFillers) {
+            filler.close();
         }
     }
 
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -320,7 +320,8 @@
                             0,
                             message.resubmitted(),
                             message.fromCrashedRelay(),
-                            earlierAttempts));
+                            earlierAttempts,
+                            Item.bundledBytes(message)));
             applyRestrictions(message);
         }
     }
@@ -544,7 +545,8 @@
                         0,
                         submission.resubmitted(),
                         submission.fromCrashedRelay(),
-                        List.of()));
+                        List.of(),
+                        Item.bundledBytes(message)));
         if (admission.restricts()) {
             controller.restrict(now, message.id(), admission.zones(), admission.bookedCapacity());
         }
@@ -700,7 +702,7 @@
 
     /** Starts the calls that the controller has requested in this round; none is written yet. */
     private void startCalls() {
-        CallBatches batches = new CallBatches(this::maxItems, limits.maxBody(), this::call);
+        CallBatches batches = new CallBatches(this::maxItems, Controller.MAX_SHARED_CALL_BYTES, this::call);
         for (RequestedSend send : requestedSends) {
             Held held = messages.get(send.id());
             if (held == null) {
--- a/src/main/java/firstair/relay/endpoints/Item.java
+++ b/src/main/java/firstair/relay/endpoints/Item.java
@@ -1,6 +1,7 @@
 package firstair.relay.endpoints;
 
 import firstair.relay.http.MultiMessageBody;
+import firstair.relay.store.StoredMessage;
 
 /**
  * One message in a call.
@@ -20,6 +21,11 @@
         double deadlineAt,
         boolean closeAfter) {
 
+    /** Size in bytes of a message within a call that carries several. */
+    public static int bundledBytes(StoredMessage message) {
+        return new MultiMessageBody.Part(message.requestId(), message.key(), message.body()).encodedLength();
+    }
+
     /** Size in bytes within a call that carries several messages. */
     public int bundledBytes() {
         return part().encodedLength();
--- a/src/test/java/firstair/control/Bench.java
+++ b/src/test/java/firstair/control/Bench.java
@@ -112,6 +112,13 @@
         return id;
     }
 
+    /** Submits a message for destination 1 that takes a number of bytes of a shared call. */
+    long acceptBytes(int bytes) {
+        long id = nextId++;
+        control.accepted(now, new Message(id, 0, 1, "k" + id, now + 10_000, 0, false, false, List.of(), bytes));
+        return id;
+    }
+
     /** Submits a message for destination 1 that a restarted relay resumes. */
     long resume(int messageClass, double leftMs, EarlierAttempt... earlier) {
         long id = nextId++;
--- a/src/test/java/firstair/control/LateConnectionTest.java
+++ b/src/test/java/firstair/control/LateConnectionTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A connection opens some time after its call was decided: what the relay learned meanwhile binds. */
 class LateConnectionTest {
@@ -235,6 +237,83 @@
         assertThat(bench.sent).hasSize(2);
     }
 
+    // ---- messages that do not fit into one call ----
+
+    /** One of the messages of a round for one endpoint, each of which needs a call of its own. */
+    private static Bench withLargeMessages(int slots, int count, Controller.MessageClass type) {
+        Bench bench = new Bench(Bench.settings(new Kind(false, 10), slots, type)).endpoints(A);
+        for (int i = 0; i < count; i++) {
+            bench.acceptBytes(Controller.MAX_SHARED_CALL_BYTES / 2 + 1);
+        }
+        bench.decide();
+        return bench;
+    }
+
+    /** Guards against review case 9: the window of a call's message counted from a later call of the same round. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLateConnectionMovesTheWindowOfItsOwnCallOnly(boolean resetBeforeIt) {
+        Bench bench = withLargeMessages(16, 2, Bench.KEYED);
+        assertThat(bench.sent).hasSize(2);
+        Sent prompt = first(bench);
+        Sent late = bench.sent.get(1);
+        bench.now += LATE_MS;
+        if (resetBeforeIt) {
+            bench.end(prompt, Result.RESET, 0);
+        }
+        assertThat(bench.connected(late)).isTrue();
+        if (!resetBeforeIt) {
+            bench.end(prompt, Result.RESET, 0);
+        }
+        double windowEnds = prompt.at() + Bench.KEYED.windowMs();
+        bench.control.waitReceived(bench.now, A, late.id(), 0, windowEnds + 100 - bench.now);
+        bench.run(windowEnds + LATE_MS - bench.now, Result.OK, 20);
+        assertThat(bench.sent.stream().filter(s -> s.id() == prompt.id())).containsExactly(prompt);
+        assertThat(bench.givenUp).containsExactly(prompt.id());
+    }
+
+    /** Guards against one slot for several calls: a destination may hold three quarters of four. */
+    @Test
+    void messagesThatDoNotFitIntoOneCallTakeASlotEach() {
+        Bench bench = withLargeMessages(4, 5, Bench.KEYED);
+        assertThat(bench.sent).hasSize(3);
+        bench.end(first(bench), Result.OK, 0);
+        bench.decide();
+        assertThat(bench.sent).hasSize(4);
+    }
+
+    /** Guards against several calls as one trial of a down endpoint. */
+    @Test
+    void aTrialIsOneCall() {
+        Bench bench = withLargeMessages(16, 4, Bench.SAFE);
+        bench.endAll(Result.CONNECT_FAILED, 0);
+        assertThat(bench.reports).anyMatch(r -> r.contains("sick"));
+        trial(bench);
+    }
+
+    /** Guards against a wait of one call in place of that of another call of its round. */
+    @Test
+    void eachCallOfARoundHasItsOwnWait() {
+        Bench bench = withLargeMessages(16, 2, Bench.SAFE);
+        bench.control.waitReceived(bench.now, A, first(bench).id(), 0, 10);
+        bench.end(bench.sent.get(1), Result.ERROR, 400);
+        bench.now += 100;
+        bench.acceptBytes(1);
+        bench.decide();
+        assertThat(bench.sent).hasSize(2);
+    }
+
+    /** A message that fits shares the call of the one before it, up to the last byte. */
+    @Test
+    void messagesShareACallUpToItsLastByte() {
+        Bench bench = new Bench(Bench.settings(new Kind(false, 10), 1, Bench.SAFE)).endpoints(A);
+        bench.acceptBytes(Controller.MAX_SHARED_CALL_BYTES - 10);
+        bench.acceptBytes(10);
+        bench.acceptBytes(1);
+        bench.decide();
+        assertThat(bench.sent).hasSize(2);
+    }
+
     // ---- waits ----
 
     private static double nextCallAt(Bench bench) {
