What clients' connections hold in memory is counted and its sum bounded

Operators saw a process end by itself, status 3: our ExitOnOutOfMemoryError. With hundreds of clients that sent heads of very many short fields, stopped half way or wrote slowly, the heap ran out; before that others got no answer.

Cause: clients were bounded by number, 80 KiB each as on the wire. A field of four bytes takes some 150 of the heap, so a head of 16 KiB 500 KB and more; a body took its announced length at once; lines and fields stayed with an idle connection.

Change: 128 fields a head (431); a connection counts what it holds, ClientMemory bounds the sum by the half of the heap it was meant to be. Partial requests that began first are refused above three quarters of it, complete ones above all of it. A body grows as it comes, nothing stays behind a request's end.

--- a/src/main/java/firstair/relay/Limits.java
+++ b/src/main/java/firstair/relay/Limits.java
@@ -258,6 +258,11 @@
         return members == 0 ? 0 : peerConnections(members) + members + PEER_BASE_FILES;
     }
 
+    /** Maximum bytes of the heap that the connections of clients hold: each can receive a message of maximum size. */
+    public long clientBytes() {
+        return (long) maxClients * (maxBody + maxHead);
+    }
+
     /** Returns these limits with an installation's local settings, which {@link TunableSettings#schema} describes. */
     public Limits withLocalSettings(Values localSettings) {
         if (localSettings.isEmpty()) {
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -22,6 +22,7 @@
     private static final RateLimitedLogger FAULTS = new RateLimitedLogger(LOG, Level.SEVERE);
     private static final double MS_PER_S = 1000;
     private static final int MAX_PIPELINED_REQUESTS = 16; // per connection; clients should send one at a time
+    private static final int CONNECTION_BYTES = 4096; // objects of the library and of the relay for one connection
     private static final byte[] NO_BYTES = new byte[0];
     private static final String BOOKINGS_PATH = "/-/bookings/";
     private static final Set<String> BOOKING_METHODS = Set.of("GET", "PUT", "DELETE");
@@ -38,6 +39,8 @@
     private final Limits limits;
     private final RequestHandler requests;
     private final BooleanSupplier softLimitExceeded;
+    private final ClientMemory memory;
+    private final MessageCollector collector;
     private final HttpParser parser;
     private final String peer;
     private boolean receivedAny;
@@ -55,39 +58,94 @@
     private int pendingWrites; // not handed to the system yet
     private int pipelinedRequests; // requests that were followed by more data at once
     private long discardedBytes; // received after the last response
+    private int submittedBytes; // of the message that awaits its response
+    private long countedBytes; // of this connection in memory
 
-    /** @param softLimitExceeded whether clients have so many connections that idle ones are closed */
+    /**
+     * @param softLimitExceeded whether clients have so many connections that idle ones are closed
+     * @param memory            counts what this connection holds
+     */
     ClientConnection(
-            Connection<?> connection, Limits limits, RequestHandler requests, BooleanSupplier softLimitExceeded) {
+            Connection<?> connection,
+            Limits limits,
+            RequestHandler requests,
+            BooleanSupplier softLimitExceeded,
+            ClientMemory memory) {
         this.connection = connection;
         this.limits = limits;
         this.requests = requests;
         this.softLimitExceeded = softLimitExceeded;
+        this.memory = memory;
         this.idleSince = requests.now();
         this.requestStartedAt = idleSince;
         this.peer = String.valueOf(connection.getPeerAddress());
         trace("accepted");
-        this.parser =
-                new HttpParser(HttpParser.Kind.REQUEST, limits.maxHead(), limits.maxBody(), new MessageCollector() {
-                    @Override
-                    public void header(String name, String value) {
-                        mayHaveRun |=
-                                name.equals(SubmissionFields.CLIENT_RETRY) && SubmissionFields.isFromFailedRelay(value);
-                    }
-
-                    @Override
-                    public void head(MessageHead head) {
-                        super.head(head);
-                        if (head.lists("expect", "100-continue")) {
-                            write(HttpWriter.response(100).withoutBody(), () -> {});
-                        }
-                    }
-
-                    @Override
-                    protected void complete(MessageHead head, byte[] body) {
-                        handleRequest(head, body);
-                    }
-                });
+        this.collector = new MessageCollector() {
+            @Override
+            public void header(String name, String value) {
+                mayHaveRun |= name.equals(SubmissionFields.CLIENT_RETRY) && SubmissionFields.isFromFailedRelay(value);
+            }
+
+            @Override
+            public void head(MessageHead head) {
+                super.head(head);
+                if (head.lists("expect", "100-continue")) {
+                    write(HttpWriter.response(100).withoutBody(), () -> {});
+                }
+            }
+
+            @Override
+            protected void complete(MessageHead head, byte[] body) {
+                handleRequest(head, body);
+            }
+        };
+        this.parser = new HttpParser(HttpParser.Kind.REQUEST, limits.maxHead(), limits.maxBody(), collector);
+        countHeldBytes();
+    }
+
+    /** Counts what this connection holds now; to be called after each change. */
+    private void countHeldBytes() {
+        long held = 0;
+        if (phase == Phase.OPEN) {
+            held = (long) parser.heldBytes() + collector.heldBytes() + unparsed.length + submittedBytes;
+        }
+        if (phase != Phase.CLOSED) {
+            held += CONNECTION_BYTES;
+        }
+        memory.add(held - countedBytes);
+        countedBytes = held;
+    }
+
+    /** Drops everything that was received, once nothing further is parsed. */
+    private void releaseInput() {
+        parser.discard();
+        collector.discard();
+        unparsed = NO_BYTES;
+        countHeldBytes();
+    }
+
+    /**
+     * Refuses a request of which a part has been received, so that others fit into memory.
+     *
+     * @return false if there is none
+     */
+    synchronized boolean refusePartialRequest() {
+        if (!receivesRequest()) {
+            return false;
+        }
+        trace("refused for want of memory");
+        rejectAndClose(503);
+        return true;
+    }
+
+    /** Whether a part of a request has been received, and not all of it. */
+    private boolean receivesRequest() {
+        return phase == Phase.OPEN && !requestPending && !parser.between();
+    }
+
+    /** When the request began of which a part has been received; infinite if there is none. */
+    synchronized double partialRequestSince() {
+        return receivesRequest() ? requestStartedAt : Double.POSITIVE_INFINITY;
     }
 
     /**
@@ -121,7 +179,7 @@
         try {
             if (!requestPending) {
                 parse(bytes);
-            } else if (unparsed.length + bytes.length <= limits.maxHead()) {
+            } else if (unparsed.length + bytes.length <= limits.maxHead() && !memory.crowded()) {
                 unparsed = joined(unparsed, bytes);
             } else {
                 // The client keeps sending without waiting: it gets the pending response and no other.
@@ -132,6 +190,7 @@
             FAULTS.log("unexpected exception while handling a request", e);
             rejectAndClose(500); // a bug of the relay interrupted the request, nothing was accepted
         }
+        countHeldBytes();
     }
 
     private static byte[] joined(byte[] first, byte[] second) {
@@ -199,6 +258,12 @@
         SubmissionFields fields = SubmissionFields.read(head, requests);
         if (fields == null) {
             respond(400, 0);
+            return;
+        }
+        submittedBytes = body.length;
+        countHeldBytes();
+        if (memory.full()) {
+            respond(503, 0);
         } else {
             requests.submit(new Submission(this, fields, requests.now() + fields.timeoutMs(), body));
         }
@@ -257,14 +322,17 @@
         trace(status + (close ? ", closing after this response" : ""));
         requestPending = false;
         mayHaveRun = false;
+        submittedBytes = 0;
         served = true;
         idleSince = requests.now();
         if (close) {
             phase = Phase.ENDING;
             endingSince = idleSince;
+            releaseInput();
             write(bytes, this::finishOutput);
             return;
         }
+        countHeldBytes();
         write(bytes, () -> {});
         byte[] rest = unparsed;
         unparsed = NO_BYTES;
@@ -487,11 +555,13 @@
     synchronized void close() {
         trace("closed by the relay");
         phase = Phase.CLOSED;
+        releaseInput();
         connection.terminateSilently();
     }
 
     synchronized void onClose() {
         trace("closed");
         phase = Phase.CLOSED;
+        releaseInput();
     }
 }
--- a/src/main/java/firstair/relay/clients/ClientFilter.java
+++ b/src/main/java/firstair/relay/clients/ClientFilter.java
@@ -20,6 +20,7 @@
 
     private final Limits limits;
     private final RequestHandler requests;
+    private final ClientMemory memory;
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private volatile boolean draining;
 
@@ -27,12 +28,13 @@
     public ClientFilter(Limits limits, RequestHandler requests) {
         this.limits = limits;
         this.requests = requests;
+        this.memory = new ClientMemory(limits.clientBytes());
     }
 
     @Override
     public NextAction handleAccept(FilterChainContext ctx) {
         ClientConnection client =
-                new ClientConnection(ctx.getConnection(), limits, requests, () -> open.size() > limits.crowd());
+                new ClientConnection(ctx.getConnection(), limits, requests, () -> open.size() > limits.crowd(), memory);
         boolean admitted = open.size() < limits.maxClients() || evictOne();
         CLIENT.set(ctx.getConnection(), client);
         open.add(client);
@@ -74,8 +76,40 @@
         return candidate;
     }
 
+    /**
+     * Refuses the requests that have been incomplete for longest until the others fit into memory. A client that is
+     * sound sends its request at once, so its own is complete before that.
+     */
+    private void refuseOldestPartialRequests() {
+        while (memory.crowded()) {
+            ClientConnection oldest = oldestPartialRequest();
+            if (oldest == null || !oldest.refusePartialRequest()) {
+                return; // all are complete and wait for their responses
+            }
+        }
+    }
+
+    private ClientConnection oldestPartialRequest() {
+        ClientConnection oldest = null;
+        double earliest = Double.POSITIVE_INFINITY;
+        for (ClientConnection client : open) {
+            double since = client.partialRequestSince();
+            if (since < earliest) {
+                earliest = since;
+                oldest = client;
+            }
+        }
+        return oldest;
+    }
+
+    /** The bytes of the heap that all connections hold. */
+    long heldBytes() {
+        return memory.held();
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext ctx) {
+        refuseOldestPartialRequests();
         ClientConnection client = CLIENT.get(ctx.getConnection());
         if (client == null || client.discardsInput(NetworkTransport.readableBytes(ctx))) {
             NetworkTransport.discard(ctx);
--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -49,7 +49,10 @@
     }
 
     private static final int INITIAL_LINE_BYTES = 256;
+    private static final int MAX_FIELDS = 128; // several times what any peer sends
+    private static final int FIELD_BYTES = 144; // two strings and an entry of a map, beside their characters
     private static final int MAX_EMPTY_LINES = 2; // before a request; a peer that sends more is not sending HTTP
+    private static final String DELIMITERS = "\"(),/:;<=>?@[\\]{}"; // they are not part of a token
     private static final byte[] RESPONSE_PREFIX = {'H', 'T', 'T', 'P', '/', '1', '.'};
 
     private final Kind kind;
@@ -60,6 +63,8 @@
     private byte[] line = new byte[INITIAL_LINE_BYTES];
     private int lineLength;
     private int headBytes;
+    private int fields; // in the head, and in interim responses before it
+    private int headHeldBytes; // of the message that is being received
     private int emptyLines;
     private String[] startLine;
     private Map<String, String> headers = new LinkedHashMap<>();
@@ -128,6 +133,18 @@
         return length;
     }
 
+    /** The bytes of the heap that the message takes which is being received, except its body. */
+    public int heldBytes() {
+        return line.length + headHeldBytes;
+    }
+
+    /** Drops what has been received of a message; the parser cannot be used after that. */
+    public void discard() {
+        line = new byte[0];
+        headers = Map.of();
+        headHeldBytes = 0;
+    }
+
     /** Called when the sender has closed the connection; false if that truncated a message. */
     public boolean eof() throws HttpException {
         if (state == State.TO_CLOSE) {
@@ -236,6 +253,10 @@
         if (colon <= 0 || !isToken(text.substring(0, colon))) {
             throw new HttpException(400, "malformed header field");
         }
+        if (++fields > MAX_FIELDS) {
+            throw new HttpException(431, "too many header fields");
+        }
+        headHeldBytes += FIELD_BYTES + text.length();
         String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
         String value = text.substring(colon + 1).trim();
         headers.merge(name, value, (a, b) -> a + "," + b);
@@ -259,6 +280,7 @@
         remaining = contentLength == null ? 0 : parseContentLength(contentLength);
         MessageHead head = new MessageHead(startLine, headers, contentLength == null ? -1 : remaining);
         headers = new LinkedHashMap<>();
+        releaseLine();
         headBytes = 0;
         bodyBytes = 0;
         int status = kind == Kind.ANSWER ? head.status() : 0;
@@ -327,16 +349,37 @@
     private void finish() throws HttpException {
         state = State.START;
         headBytes = 0;
+        fields = 0;
+        headHeldBytes = 0;
         emptyLines = 0;
+        releaseLine();
         sink.end();
     }
 
+    /** A connection may be idle for long behind a long line. */
+    private void releaseLine() {
+        if (line.length > INITIAL_LINE_BYTES) {
+            line = new byte[INITIAL_LINE_BYTES];
+        }
+    }
+
     private static boolean areDigits(String text, int radix) {
-        return text.chars().allMatch(c -> c < 128 && Character.digit(c, radix) >= 0);
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) >= 128 || Character.digit(text.charAt(i), radix) < 0) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Whether a text is a token of RFC 9110. */
     private static boolean isToken(String text) {
-        return !text.isEmpty() && text.chars().allMatch(c -> c > 32 && c < 127 && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c <= ' ' || c >= 127 || DELIMITERS.indexOf(c) >= 0) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
     }
 }
--- a/src/test/java/firstair/relay/clients/ClosingTest.java
+++ b/src/test/java/firstair/relay/clients/ClosingTest.java
@@ -539,6 +539,64 @@
         }
     }
 
+    // ---- memory ----
+
+    /** Guards against bytes that stay counted: in the end every request would be refused for want of memory. */
+    @Test
+    void whatConnectionsHoldIsCountedUntilTheyEnd() throws Exception {
+        serve(0);
+        handler.deferring = true;
+        String body = "x".repeat(1000);
+        String[] sent = {
+            MESSAGE.substring(0, 40),
+            MESSAGE_HEAD.replace("Length: 1", "Length: 60000") + body,
+            MESSAGE + MESSAGE + UNKNOWN_PATH_REQUEST,
+            "nonsense\r\n" + body,
+            UNKNOWN_PATH_REQUEST
+        };
+        for (int round = 0; round < 3; round++) {
+            List<Socket> all = new ArrayList<>();
+            for (String text : sent) {
+                all.add(client());
+                send(all.get(all.size() - 1), text);
+            }
+            long before = read.get();
+            Await.until("something to be read", () -> read.get() >= before && filter.heldBytes() > 1000);
+            handler.waiting.take().respond(202, 0);
+            handler.waiting.take().respond(202, 0);
+            if (round == 1) {
+                filter.end(() -> {});
+            }
+            close(all);
+            Await.until("nothing to be held", () -> filter.heldBytes() == 0);
+        }
+    }
+
+    /** Guards against requests that never end and keep others out: those that began first are refused. */
+    @Test
+    void theOldestPartialRequestsAreRefusedForWantOfMemory() throws Exception {
+        serve(MAX_CLIENTS);
+        List<Socket> all = new ArrayList<>();
+        try {
+            String large = MESSAGE_HEAD.replace("Length: 1", "Length: " + limits.maxBody());
+            for (int i = 0; i < MAX_CLIENTS; i++) {
+                handler.now++;
+                all.add(client());
+                long before = read.get();
+                send(all.get(i), large + "x".repeat(limits.maxBody() - 1));
+                if (i < MAX_CLIENTS - 1) {
+                    Await.until("it to be read", () -> read.get() - before == large.length() + limits.maxBody() - 1);
+                }
+            }
+            assertThat(nextStatus(all.get(0))).isEqualTo("503");
+            send(all.get(MAX_CLIENTS - 1), "x");
+            assertThat(nextStatus(all.get(MAX_CLIENTS - 1))).isEqualTo("202");
+            assertThat(handler.submissions).hasValue(1);
+        } finally {
+            close(all);
+        }
+    }
+
     // ---- clients that disconnect ----
 
     private enum Disconnect {
--- a/src/test/java/firstair/relay/http/HttpParserTest.java
+++ b/src/test/java/firstair/relay/http/HttpParserTest.java
@@ -222,4 +222,36 @@
                 .isInstanceOfSatisfying(
                         HttpException.class, e -> assertThat(e.status()).isEqualTo(431));
     }
+
+    /** Guards against heads of very many short fields, each of which takes many times its bytes on the wire. */
+    @Test
+    void aHeadHasALimitedNumberOfFields() throws HttpException {
+        for (HttpParser.Kind kind : HttpParser.Kind.values()) {
+            String start = kind == HttpParser.Kind.REQUEST ? "POST / HTTP/1.1\n" : "HTTP/1.1 204 x\n";
+            byte[] most = bytes(start + "a:\n".repeat(128) + "\n");
+            RecordingSink sink = new RecordingSink();
+            HttpParser parser = new HttpParser(kind, 1000, MAX_BODY, sink);
+            for (int i = 0; i < 3; i++) {
+                feed(parser, most, 0, most.length);
+            }
+            assertThat(sink.messages).as("%s", kind).hasSize(3);
+            byte[] tooMany = bytes(start + "a:\n".repeat(129));
+            assertThatThrownBy(() -> feed(new HttpParser(kind, 1000, MAX_BODY, sink), tooMany, 0, tooMany.length))
+                    .isInstanceOf(HttpException.class)
+                    .hasMessageContaining("fields");
+        }
+    }
+
+    /** Guards against memory that is not counted, or that is kept behind the end of a message. */
+    @Test
+    void whatIsHeldIsCountedAndReleased() throws HttpException {
+        HttpParser parser = new HttpParser(HttpParser.Kind.REQUEST, 16_384, MAX_BODY, new RecordingSink());
+        int idle = parser.heldBytes();
+        byte[] first = bytes("GET / HTTP/1.1\n" + "a: b\n".repeat(100) + "c: " + "d".repeat(5000));
+        feed(parser, first, 0, first.length);
+        assertThat(parser.heldBytes()).isGreaterThan(15_000);
+        byte[] rest = bytes("\n\n");
+        feed(parser, rest, 0, rest.length);
+        assertThat(parser.heldBytes()).isEqualTo(idle);
+    }
 }
