Chunks much smaller than their framing are refused

Cause: the one selector thread parsed some 2,700 chunks a read, each by a string and two streams: over a second for one turn of all connections.

The two cases of ClientMemoryTest failed before and pass now.

--- a/src/main/java/firstair/relay/http/HttpParser.java
+++ b/src/main/java/firstair/relay/http/HttpParser.java
@@ -51,6 +51,7 @@
     private static final int INITIAL_LINE_BYTES = 256;
     private static final int MAX_FIELDS = 128; // several times what any peer sends
     private static final int FIELD_BYTES = 144; // two strings and an entry of a map, beside their characters
+    private static final int MAX_EXCESS_FRAMING_BYTES = 1024; // of chunks, over the bytes of their content
     private static final int MAX_EMPTY_LINES = 2; // before a request; a peer that sends more is not sending HTTP
     private static final String DELIMITERS = "\"(),/:;<=>?@[\\]{}"; // they are not part of a token
     private static final byte[] RESPONSE_PREFIX = {'H', 'T', 'T', 'P', '/', '1', '.'};
@@ -70,6 +71,7 @@
     private Map<String, String> headers = new LinkedHashMap<>();
     private long remaining;
     private long bodyBytes;
+    private long chunkFramingBytes; // of a chunked body: what is not content
 
     /**
      * @param maxHead maximum size of start line and headers, and of trailers, in bytes
@@ -198,8 +200,12 @@
                 return endHead();
             }
             case CHUNK_SIZE -> {
+                chunkFramingBytes += headBytes;
                 headBytes = 0;
                 remaining = parseChunkSize(text);
+                if (chunkFramingBytes > MAX_EXCESS_FRAMING_BYTES + bodyBytes) {
+                    throw new HttpException(400, "chunks too small"); // each costs far more time than its content
+                }
                 state = remaining == 0 ? State.TRAILERS : State.CHUNK;
                 return false;
             }
@@ -283,6 +289,7 @@
         releaseLine();
         headBytes = 0;
         bodyBytes = 0;
+        chunkFramingBytes = 0;
         int status = kind == Kind.ANSWER ? head.status() : 0;
         if (transferCoding != null) {
             if (!transferCoding.toLowerCase(Locale.ROOT).equals("chunked")) {
--- a/src/test/java/firstair/relay/ClientMemoryTest.java
+++ b/src/test/java/firstair/relay/ClientMemoryTest.java
@@ -46,8 +46,15 @@
                 Thread.sleep(STEP_MS);
             }
         }),
-        UNREAD_RESPONSES((out, node) -> {
+        TINY_CHUNKS((out, node) -> {
+            send(out, head(node).replaceFirst("Content-Length: \\d+", "Transfer-Encoding: chunked"));
             while (true) { // until the relay ends the connection
+                send(out, "1\r\nx\r\n".repeat(1000));
+                Thread.sleep(STEP_MS);
+            }
+        }),
+        UNREAD_RESPONSES((out, node) -> {
+            while (true) { // as above
                 send(out, "GET /other HTTP/1.1\r\n\r\n".repeat(40));
             }
         });
@@ -153,11 +160,13 @@
         "32, MANY_SHORT_FIELDS_AND_HALF_A_BODY",
         "32, HALF_A_BODY",
         "32, SLOW_WRITES",
+        "32, TINY_CHUNKS",
         "32, UNREAD_RESPONSES",
         "192, HEAD_OF_MANY_SHORT_FIELDS",
         "192, MANY_SHORT_FIELDS_AND_HALF_A_BODY",
         "192, HALF_A_BODY",
         "192, SLOW_WRITES",
+        "192, TINY_CHUNKS",
         "192, UNREAD_RESPONSES"
     })
     void aCrowdNeitherEndsTheProcessNorKeepsResponsesFromOthers(int memoryMb, Crowd kind) throws Exception {
--- a/src/test/java/firstair/relay/http/HttpParserTest.java
+++ b/src/test/java/firstair/relay/http/HttpParserTest.java
@@ -242,6 +242,21 @@
         }
     }
 
+    /** Guards against bodies in tiny chunks, which take far more time than their content; usual ones are accepted. */
+    @Test
+    void chunksMayNotBeMuchSmallerThanTheirFraming() throws HttpException {
+        String head = "POST / HTTP/1.1\nTransfer-Encoding: chunked\n\n";
+        byte[] usual = bytes(head + "8\nabcdefgh\n".repeat(2000) + "0\n\n");
+        RecordingSink sink = new RecordingSink();
+        feed(new HttpParser(HttpParser.Kind.REQUEST, MAX_HEAD, 16_000, sink), usual, 0, usual.length);
+        assertThat(sink.messages).hasSize(1);
+        byte[] tiny = bytes(head + "1\na\n".repeat(2000));
+        assertThatThrownBy(() ->
+                        feed(new HttpParser(HttpParser.Kind.REQUEST, MAX_HEAD, 16_000, sink), tiny, 0, tiny.length))
+                .isInstanceOf(HttpException.class)
+                .hasMessageContaining("chunks");
+    }
+
     /** Guards against memory that is not counted, or that is kept behind the end of a message. */
     @Test
     void whatIsHeldIsCountedAndReleased() throws HttpException {
