A request that comes again after its message has ended does not run again

Cause: a repetition was known by its id only while its message was held. Delivered or given up, the id was forgotten and the repetition accepted as new.

What was refused or handed back never ran and is accepted again.

--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -23,6 +23,7 @@
  */
 final class HeldMessages {
     private static final int ACCEPTED = 202;
+    private static final int GIVEN_UP = 504;
 
     /** A message without a final answer; {@code client} is null once its client has been answered. */
     static final class Held {
@@ -42,6 +43,7 @@
     private final Store store;
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> idsByRequestId = new HashMap<>();
+    private final EndedMessages ended = new EndedMessages();
     private final List<Held> accepted = new ArrayList<>(); // in this round, not stored yet
     private long acceptedBytes; // space in the store for the messages accepted in this round and not recorded yet
     private final Deque<Held> unanswered = new ArrayDeque<>(); // stored, but their clients are not answered yet
@@ -109,6 +111,23 @@
         return held.size();
     }
 
+    /**
+     * The status that answers a request whose message has ended and may have run, or null if none is known. A message
+     * that certainly never ran may be accepted once more.
+     */
+    Integer endedStatus(String requestId) {
+        return ended.status(requestId);
+    }
+
+    /** Removes a message that is given up, and returns it; null if it was removed before. */
+    Held removeGivenUp(long id) {
+        Held removed = remove(id);
+        if (removed != null) {
+            ended.add(removed.message.requestId(), GIVEN_UP);
+        }
+        return removed;
+    }
+
     /** Removes a message that has its final answer, and returns it; null if it was removed before. */
     Held remove(long id) {
         Held removed = held.remove(id);
@@ -133,6 +152,10 @@
         }
         store.attemptEnded(outcome.id(), outcome.attempt(), outcome.result().maybeRan());
         if (outcome.messageEnded()) {
+            Held over = held.get(outcome.id());
+            if (over != null) {
+                ended.add(over.message.requestId(), ACCEPTED);
+            }
             complete(outcome.id());
         }
     }
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -515,6 +515,11 @@
             }
             return;
         }
+        Integer endedStatus = messages.endedStatus(submission.requestId());
+        if (endedStatus != null) {
+            submission.respond(endedStatus, 0); // its client left without the answer and sends it again
+            return;
+        }
         if (!lastListedAt.containsKey(submission.destination())) {
             // A destination that is not on the list cannot be reached: another relay, or a later list, may have it.
             submission.respond(watch.current() ? UNKNOWN_DESTINATION : REFUSED, 0);
@@ -805,17 +810,16 @@
 
     @Override
     public void refuse(long id, double afterMs) {
-        endMessage(id, REFUSED, new PendingNotice(true, afterMs));
+        endMessage(id, messages.remove(id), REFUSED, new PendingNotice(true, afterMs));
     }
 
     @Override
     public void giveUp(long id) {
-        endMessage(id, GIVEN_UP, new PendingNotice(false, 0));
+        endMessage(id, messages.removeGivenUp(id), GIVEN_UP, new PendingNotice(false, 0));
     }
 
     /** Sends a final answer: to the client if it still waits for its answer, otherwise by a notice. */
-    private void endMessage(long id, int status, PendingNotice notice) {
-        Held held = messages.remove(id);
+    private void endMessage(long id, Held held, int status, PendingNotice notice) {
         if (held == null) {
             return;
         }
