The statuses that answer a submission have one place

Cause: Relay, HeldMessages, ClientConnection and FleetDriver each named the same statuses, or wrote them as numbers, and which of them promise that a message has not run was known to ClientConnection alone.

Change: ResponseStatus names them, says what each tells a client, and tells which are refusals. No behaviour changes.

--- a/src/main/java/firstair/relay/HeldMessages.java
+++ b/src/main/java/firstair/relay/HeldMessages.java
@@ -1,6 +1,7 @@
 package firstair.relay;
 
 import firstair.control.Controller.Outcome;
+import firstair.relay.clients.ResponseStatus;
 import firstair.relay.clients.Submission;
 import firstair.relay.store.OpenMessage;
 import firstair.relay.store.PendingNotice;
@@ -22,8 +23,6 @@
  * loop's thread only.
  */
 final class HeldMessages {
-    private static final int ACCEPTED = 202;
-    private static final int GIVEN_UP = 504;
 
     /** A message without a final answer; {@code client} is null once its client has been answered. */
     static final class Held {
@@ -123,7 +122,7 @@
     Held removeGivenUp(long id) {
         Held removed = remove(id);
         if (removed != null) {
-            ended.add(removed.message.requestId(), GIVEN_UP);
+            ended.add(removed.message.requestId(), ResponseStatus.GIVEN_UP);
         }
         return removed;
     }
@@ -154,7 +153,7 @@
         if (outcome.messageEnded()) {
             Held over = held.get(outcome.id());
             if (over != null) {
-                ended.add(over.message.requestId(), ACCEPTED);
+                ended.add(over.message.requestId(), ResponseStatus.ACCEPTED);
             }
             complete(outcome.id());
         }
@@ -241,7 +240,7 @@
         if (unanswered.remove(stored)) {
             Submission client = stored.client;
             stored.client = null;
-            client.respond(ACCEPTED, 0);
+            client.respond(ResponseStatus.ACCEPTED, 0);
         }
     }
 
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -11,6 +11,7 @@
 import firstair.relay.clients.BookingRequest;
 import firstair.relay.clients.ClientFilter;
 import firstair.relay.clients.RequestHandler;
+import firstair.relay.clients.ResponseStatus;
 import firstair.relay.clients.Submission;
 import firstair.relay.discovery.EndpointList;
 import firstair.relay.discovery.EndpointListWatch;
@@ -49,11 +50,6 @@
 public final class Relay implements Controller.Actions, RequestHandler, FleetPeers.Listener {
     private static final Logger LOG = Logger.getLogger(Relay.class.getName());
     private static final RateLimitedLogger FAULTS = new RateLimitedLogger(LOG, Level.SEVERE);
-    private static final int ACCEPTED = 202;
-    private static final int REFUSED = 503;
-    private static final int UNKNOWN_DESTINATION = 404;
-    private static final int GIVEN_UP = 504;
-    private static final int FAILED = 500;
 
     /** An endpoint on the list: its destination and zone, and the maximum number of messages per call. */
     private record ListedEndpoint(int destination, int zone, int maxBatch) {}
@@ -477,7 +473,7 @@
     @Override
     public void submit(Submission submission) {
         if (ended) {
-            submission.respond(REFUSED, 0);
+            submission.respond(ResponseStatus.REFUSED, 0);
             return;
         }
         loop.post(() -> {
@@ -497,19 +493,19 @@
             messages.undoAccept(known.message.id());
             controller.withdrawn(loop.now(), known.message.id());
         }
-        submission.respond(REFUSED, 0);
+        submission.respond(ResponseStatus.REFUSED, 0);
     }
 
     private void accept(Submission submission) {
         if (submission.clientGone()) {
             // Its client may submit it elsewhere; a client that has only closed its sending side gets the answer.
-            submission.respond(REFUSED, 0);
+            submission.respond(ResponseStatus.REFUSED, 0);
             return;
         }
         Held known = messages.byRequestId(submission.requestId());
         if (known != null) {
             if (known.client == null) {
-                submission.respond(ACCEPTED, 0); // a repeat: the client did not get the first answer
+                submission.respond(ResponseStatus.ACCEPTED, 0); // a repeat: the client did not get the first answer
             } else {
                 loop.post(() -> accept(submission)); // not stored yet: its answer is known after this round
             }
@@ -522,14 +518,14 @@
         }
         if (!lastListedAt.containsKey(submission.destination())) {
             // A destination that is not on the list cannot be reached: another relay, or a later list, may have it.
-            submission.respond(watch.current() ? UNKNOWN_DESTINATION : REFUSED, 0);
+            submission.respond(watch.current() ? ResponseStatus.UNKNOWN_DESTINATION : ResponseStatus.REFUSED, 0);
             return;
         }
         double now = loop.now();
         MessageClass messageClass = config.settings().classes().get(submission.messageClass());
         StoredMessage message = storedMessage(submission, messageClass, now);
         if (!messages.fits(message)) {
-            submission.respond(REFUSED, 0);
+            submission.respond(ResponseStatus.REFUSED, 0);
             return;
         }
         FleetPeers.Admission admission =
@@ -768,7 +764,7 @@
         for (Held held : messages.acceptedInRound()) {
             controller.withdrawn(loop.now(), held.message.id());
             messages.complete(held.message.id());
-            held.client.respond(messages.failedFlushDiscarded() ? REFUSED : FAILED, 0);
+            held.client.respond(messages.failedFlushDiscarded() ? ResponseStatus.REFUSED : ResponseStatus.FAILED, 0);
         }
         return messages.flush();
     }
@@ -810,12 +806,12 @@
 
     @Override
     public void refuse(long id, double afterMs) {
-        endMessage(id, messages.remove(id), REFUSED, new PendingNotice(true, afterMs));
+        endMessage(id, messages.remove(id), ResponseStatus.REFUSED, new PendingNotice(true, afterMs));
     }
 
     @Override
     public void giveUp(long id) {
-        endMessage(id, messages.removeGivenUp(id), GIVEN_UP, new PendingNotice(false, 0));
+        endMessage(id, messages.removeGivenUp(id), ResponseStatus.GIVEN_UP, new PendingNotice(false, 0));
     }
 
     /** Sends a final answer: to the client if it still waits for its answer, otherwise by a notice. */
--- a/src/main/java/firstair/relay/clients/ClientConnection.java
+++ b/src/main/java/firstair/relay/clients/ClientConnection.java
@@ -26,8 +26,6 @@
     private static final byte[] NO_BYTES = new byte[0];
     private static final String BOOKINGS_PATH = "/-/bookings/";
     private static final Set<String> BOOKING_METHODS = Set.of("GET", "PUT", "DELETE");
-    private static final Set<Integer> REFUSALS = Set.of(429, 503); // they promise that the message has not run
-    private static final int GIVEN_UP = 504; // promises nothing
 
     private enum Phase {
         OPEN,
@@ -134,7 +132,7 @@
             return false;
         }
         trace("refused for want of memory");
-        rejectAndClose(503);
+        rejectAndClose(ResponseStatus.REFUSED);
         return true;
     }
 
@@ -188,7 +186,7 @@
             }
         } catch (RuntimeException e) {
             FAULTS.log("unexpected exception while handling a request", e);
-            rejectAndClose(500); // a bug of the relay interrupted the request, nothing was accepted
+            rejectAndClose(ResponseStatus.FAILED); // a bug of the relay interrupted the request, nothing was accepted
         }
         countHeldBytes();
     }
@@ -263,7 +261,7 @@
         submittedBytes = body.length;
         countHeldBytes();
         if (memory.full()) {
-            respond(503, 0);
+            respond(ResponseStatus.REFUSED, 0);
         } else {
             requests.submit(new Submission(this, fields, requests.now() + fields.timeoutMs(), body));
         }
@@ -289,8 +287,8 @@
         if (phase != Phase.OPEN || !requestPending) {
             return;
         }
-        if (mayHaveRun && REFUSALS.contains(status)) {
-            respond(GIVEN_UP, 0, reason, json);
+        if (mayHaveRun && ResponseStatus.isRefusal(status)) {
+            respond(ResponseStatus.GIVEN_UP, 0, reason, json);
             return;
         }
         if (pendingWrites > 0) {
@@ -408,7 +406,7 @@
         if (served && parser.between()) {
             close();
         } else {
-            rejectAndClose(503);
+            rejectAndClose(ResponseStatus.REFUSED);
         }
     }
 
@@ -481,7 +479,7 @@
             readPending();
         }
         if (requestTimedOut(requests.now())) {
-            rejectAndClose(408);
+            rejectAndClose(ResponseStatus.REQUEST_TIMEOUT);
         }
     }
 
@@ -523,7 +521,7 @@
     /** Refuses a request that has not been answered, or may be on its way; used when the handler has stopped. */
     synchronized void refuse() {
         if (phase == Phase.OPEN && (requestPending || !served || !parser.between())) {
-            rejectAndClose(503);
+            rejectAndClose(ResponseStatus.REFUSED);
         }
     }
 
--- a/src/main/java/firstair/relay/clients/ClientFilter.java
+++ b/src/main/java/firstair/relay/clients/ClientFilter.java
@@ -39,7 +39,7 @@
         CLIENT.set(ctx.getConnection(), client);
         open.add(client);
         if (!admitted) {
-            client.rejectAndClose(503);
+            client.rejectAndClose(ResponseStatus.REFUSED);
         } else if (draining) {
             client.drain(); // accepted while the others were being drained
         }
--- a/src/main/java/firstair/relay/fleet/FleetDriver.java
+++ b/src/main/java/firstair/relay/fleet/FleetDriver.java
@@ -22,6 +22,7 @@
 import firstair.relay.FleetPeers;
 import firstair.relay.Loop;
 import firstair.relay.clients.BookingRequest;
+import firstair.relay.clients.ResponseStatus;
 import firstair.relay.discovery.Zones;
 import firstair.relay.store.BootClock;
 import firstair.relay.store.LedgerFile;
@@ -50,7 +51,6 @@
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
-    private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final FleetConfig config;
@@ -236,7 +236,7 @@
         try {
             return admission(fleet.admit(loop.now(), tenant, className, destination, booking));
         } catch (Fault.TenantQuota fault) {
-            return refusal(TOO_MANY_REQUESTS, fault.afterMs(), fault);
+            return refusal(ResponseStatus.TOO_MANY_REQUESTS, fault.afterMs(), fault);
         } catch (Fault.OutsideContract fault) {
             return refusal(SERVICE_UNAVAILABLE, 0, fault); // another relay may accept it, or this one later
         } catch (Fault fault) {
