A started relay makes no call before discovery has pushed its list

Cause: Relay ended its wait for the list with the first failed call for it, and after 1 s; then calls went by the list of the configuration. The trace has the 503 at 7.25 s, the calls at 7.27 s, discovery's list at 7.99 s. While it waited, the controller decided nothing, so nobody would have asked for the list again.

Change: the list that a process was started with is UNCONFIRMED to the controller where lists are pushed: it decides as ever, asks again and ends messages in time, but sends nothing until an object of discovery has come, however long that takes. While calls wait it asks again after 0.1, 0.2 and then 0.4 s, jittered. Why this works: no send can come before the first object, and no failure stops the asking.

--- a/src/main/java/firstair/control/Control.java
+++ b/src/main/java/firstair/control/Control.java
@@ -120,6 +120,7 @@
 
     // List of endpoints and wake-ups.
     private static final double LIST_RETRY_MS = 400; // pause before asking for the list again
+    private static final double FIRST_LIST_RETRY_MS = 100; // first one while calls wait for it; it doubles
     private static final double LIST_RETRY_OVERDUE_MS = 100; // the same after a call that itself took long
     private static final double TICK_MS = 5; // wake-ups are no closer than this
     private static final double FORGET_MS = 10_000; // an endpoint that is listed again sooner keeps its state
@@ -275,6 +276,8 @@
     private Share defaultShare = Share.ALL; // of destinations without a share of their own
     private double wakeAt = INFINITE; // earliest wake-up that was requested
     private double askForListAt = INFINITE;
+    private boolean listUnconfirmed; // others may have the addresses of endpoints by now: no calls
+    private int listFailures; // since the last list
     private double nextWake; // earliest wake-up that this round needs
     private double startedAt = Double.NaN; // when the first message was accepted
 
@@ -305,9 +308,11 @@
         if (news == ListUpdate.FAILED) {
             // A failure does not tell whether the watch is active, and changes matter once discovery is back.
             double most = settings.rules().askEveryMs() > 0 ? settings.rules().askEveryMs() / 8 : INFINITE;
-            askForListAt = now + jittered(Math.min(most, LIST_RETRY_MS));
+            askForListAt = now + jittered(Math.min(most, listRetryMs()));
             return;
         }
+        listUnconfirmed = news == ListUpdate.UNCONFIRMED;
+        listFailures = 0;
         if (news != ListUpdate.CHANGES) {
             endpoints.values().forEach(e -> unlist(now, e));
         }
@@ -336,6 +341,13 @@
         });
     }
 
+    /** Pause after a failed request for the list, which grows while all calls wait for it. */
+    private double listRetryMs() {
+        return listUnconfirmed
+                ? Math.min(LIST_RETRY_MS, FIRST_LIST_RETRY_MS * Math.pow(BACKOFF_FACTOR, listFailures++))
+                : LIST_RETRY_MS;
+    }
+
     private void unlist(double now, Endpoint endpoint) {
         endpoint.active = false;
         endpoint.unlistedAt = Math.min(endpoint.unlistedAt, now);
@@ -885,7 +897,7 @@
         ready.forEach(p -> p.priority = sendPriority(now, p));
         ready.sort(Comparator.comparingDouble((Pending p) -> -p.priority));
         ready.forEach(p -> {
-            if (!p.finished) {
+            if (!p.finished && !listUnconfirmed) {
                 trySend(now, p);
             }
         });
--- a/src/main/java/firstair/control/Controller.java
+++ b/src/main/java/firstair/control/Controller.java
@@ -83,6 +83,8 @@
         CHANGES,
         COMPLETE,
         STORED,
+        /** The stored list, while discovery's own is under way: no call is made before that has come. */
+        UNCONFIRMED,
         /** A request for the list failed soon, or its watch has ended. */
         FAILED,
         /** A request for the list failed, or has no answer, after so long that no further pause is needed. */
--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -82,7 +82,8 @@
     private boolean configCheckScheduled; // for a new address of the platform, sooner than the next sweep
     private boolean postponed; // the calls of the last round, because it was delayed
     private boolean watchRequested;
-    private boolean awaitingList; // just started, and discovery has not pushed its list yet
+    private boolean callsAwaitList; // just started, and discovery has not pushed its list yet
+    private boolean openAwaitsList; // clients may not connect before discovery's first answer, or openTimer
     private Connection<?> listener;
     private Loop.Timer openTimer; // until clients may connect
     private Loop.Timer listenRetry; // if the system had no socket for the listener
@@ -174,22 +175,23 @@
     }
 
     private void start() throws IOException {
+        boolean listPushed = !config.settings().askForList();
         if (config.knownEndpoints() != null) {
-            listUpdated(ListUpdate.STORED, config.knownEndpoints());
+            // A list that is pushed applies from the start on: no calls are made before it has arrived.
+            listUpdated(listPushed ? ListUpdate.UNCONFIRMED : ListUpdate.STORED, config.knownEndpoints());
         }
         peers.start();
-        if (!config.settings().askForList()) {
-            // The controller doesn't request a list that is pushed, and only a watch delivers it. The list applies from
-            // the start on, so no calls are made before it has arrived, unless it takes too long.
+        if (listPushed) {
+            // The controller requests a list that is pushed only after a failure, and only a watch delivers it.
             watchRequested = true;
-            awaitingList = true;
-            loop.after(limits.parallelListCallMs(), () -> awaitingList = false);
+            callsAwaitList = true;
+            openAwaitsList = true;
         }
         resumePending();
         round();
         loop.after(limits.sweepMs(), this::sweep);
         resumed = messages.size() + " messages and " + notices.pending() + " notices taken up again";
-        if (!awaitingList) {
+        if (!openAwaitsList) {
             open();
         } else {
             openTimer = loop.after(limits.openMs(), this::open);
@@ -620,12 +622,17 @@
 
     private void listUpdated(ListUpdate update, EndpointList list) {
         if (list == null) {
-            awaitingList = false; // discovery's list is not available for now
+            openAwaitsList = false; // discovery's list is not available for now
             controller.list(loop.now(), update, List.of());
             return;
         }
-        awaitingList &= update == ListUpdate.STORED;
         double now = loop.now();
+        if (callsAwaitList) {
+            LOG.info("list of discovery, version " + list.version() + ", " + Math.round(now)
+                    + " ms after the start: calls begin");
+        }
+        callsAwaitList = false;
+        openAwaitsList = false;
         Set<String> removed = new HashSet<>(update == ListUpdate.CHANGES ? Set.of() : listedEndpoints.keySet());
         listedEndpoints.values().forEach(listed -> lastListedAt.put(listed.destination(), now));
         endpoints.updateAddresses(list.addresses());
@@ -666,7 +673,7 @@
         } else {
             endpoints.recheckConnected((id, attempt) -> controller.timeoutAtWrite(loop.now(), id, attempt));
         }
-        if (!callsStopped && !awaitingList) {
+        if (!callsStopped) {
             controller.decide(loop.now());
         }
         messages.recordAccepted();
@@ -686,7 +693,7 @@
             loop.post(() -> {}); // the other clients are answered in the next round
         }
         writeCalls(stored, startedAt);
-        if (openTimer != null && !awaitingList) {
+        if (openTimer != null && !openAwaitsList) {
             openTimer.cancel();
             open();
         }
