A started relay fetches the whole list where its watch brings none

Seen by callers: lists are pushed, a relay has started, and discovery answers its watch with empty lines and no object. Nothing is called for as long as that watch shows life, and what was taken on ends without a call.

Cause: EndpointListWatch takes a watch with a head and signs of life for good. That is right once a list has come in this process; nothing asked whether one had.

Change: the relay says that it needs a list (requireList). Until the first one, a watch that has been answered and is without an object 1 s later is overdue, and the next calls fetch the whole list. Why this works: that answer has to hold an object, and any other end of it is a failure, which is asked again.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -183,6 +183,7 @@
         peers.start();
         if (listPushed) {
             // The controller requests a list that is pushed only after a failure, and only a watch delivers it.
+            watch.requireList();
             watchRequested = true;
             callsAwaitList = true;
             openAwaitsList = true;
--- a/src/main/java/firstair/relay/discovery/EndpointListWatch.java
+++ b/src/main/java/firstair/relay/discovery/EndpointListWatch.java
@@ -45,6 +45,8 @@
     private final List<Call> calls = new ArrayList<>(); // in progress
     private final RateLimitedLogger lossLog = new RateLimitedLogger(LOG, Level.WARNING);
     private boolean lossLogged; // since the last list was received
+    private boolean listRequired; // a watch without a list is overdue
+    private boolean fullListNeeded; // such a watch has been overdue
 
     /** @param version version of the list that the caller already has, or -1 */
     public EndpointListWatch(
@@ -73,8 +75,16 @@
         }
     }
 
+    /**
+     * The caller's list must not be used before discovery has sent one. Until then a watch that has been answered, but
+     * sends no object, is overdue like a call without an answer, and the next call fetches the full list.
+     */
+    public void requireList() {
+        listRequired = true;
+    }
+
     private void startCall() {
-        Call next = new Call(version >= 0);
+        Call next = new Call(version >= 0 && !fullListNeeded);
         calls.add(next);
         next.start();
     }
@@ -157,6 +167,8 @@
         }
         lossLogged = false;
         from.listReceived = true;
+        listRequired = false;
+        fullListNeeded = false;
         version = listed.version();
         keepOnly(from);
         listener.news(listed.full() ? ListUpdate.COMPLETE : ListUpdate.CHANGES, listed);
@@ -198,6 +210,20 @@
             return !listReceived && loop.now() - startedAt >= limits.parallelListCallMs() / 2;
         }
 
+        private void answered() {
+            keepOnly(this);
+            if (listRequired) {
+                loop.after(limits.parallelListCallMs(), this::checkListReceived);
+            }
+        }
+
+        private void checkListReceived() {
+            if (listRequired && calls.contains(this)) {
+                fullListNeeded = true;
+                checkOverdue(true, "answered without a list");
+            }
+        }
+
         private void checkOverdue(boolean waiting, String state) {
             if (waiting && calls.contains(this)) {
                 notifyFailure(
@@ -236,7 +262,7 @@
         public void head(MessageHead head) {
             lastDataAt = loop.now();
             headReceived = true;
-            loop.post(head.status() == 200 ? () -> keepOnly(this) : () -> callFailed(this, "status " + head.status()));
+            loop.post(head.status() == 200 ? this::answered : () -> callFailed(this, "status " + head.status()));
         }
 
         @Override
--- a/src/test/java/firstair/relay/discovery/EndpointListWatchTest.java
+++ b/src/test/java/firstair/relay/discovery/EndpointListWatchTest.java
@@ -15,6 +15,7 @@
 import firstair.relay.http.MessageHead;
 import firstair.relay.net.Dialer;
 import firstair.relay.net.NetworkTransport;
+import firstair.relay.standin.Await;
 import firstair.relay.standin.FaultyDialer;
 import firstair.relay.standin.LogLines;
 import firstair.relay.standin.LoopThread;
@@ -299,6 +300,45 @@
         assertThat(watch.current()).isFalse(); // no list has been received yet
     }
 
+    /** Guards against waiting for a list for as long as a watch shows life, where none may be called without one. */
+    @Test
+    void aWatchWithoutARequiredListIsFollowedByACallForTheFullList() throws Exception {
+        BlockingQueue<String> targets = new LinkedBlockingQueue<>();
+        AtomicBoolean required = new AtomicBoolean();
+        server = new StandIn(r -> {
+            targets.add(r.target());
+            if (r.target().endsWith("since=41")) {
+                Await.until("the list to be required", required::get);
+                write(r, HEAD);
+                while (true) { // until the relay closes
+                    write(r, chunk("\n"));
+                    pause();
+                }
+            } else if (targets.size() == 2) {
+                r.answer(503);
+            } else {
+                r.answer(200, StandInPlatform.list(42, true, "s1 7 127.0.0.1:1").getBytes(StandardCharsets.UTF_8));
+            }
+        });
+        EndpointListWatch watch = watch(41);
+        loop.post(() -> {
+            watch.requireList();
+            required.set(true);
+        });
+        assertThat(next().news()).isEqualTo(ListUpdate.OVERDUE);
+        loop.post(watch::listen);
+        assertThat(next().news()).isEqualTo(ListUpdate.FAILED);
+        loop.post(watch::listen);
+        assertThat(next().news()).isEqualTo(ListUpdate.COMPLETE);
+        Await.until("a watch", () -> targets.size() == 4);
+        assertThat(targets)
+                .containsExactly(
+                        "/api/targets?follow=1&since=41",
+                        "/api/targets",
+                        "/api/targets",
+                        "/api/targets?follow=1&since=42");
+    }
+
     @Test
     void anInvalidListEndsTheWatch() throws Exception {
         StandInPlatform platform = new StandInPlatform("nonsense");
--- a/src/test/java/firstair/relay/faults/PushedListAtStartTest.java
+++ b/src/test/java/firstair/relay/faults/PushedListAtStartTest.java
@@ -31,6 +31,7 @@
     private static final int EXIT_MS = 3700; // SIGKILL follows SIGTERM after so long
     private static final double NOTICE_DUE_MS = 300; // after a message's deadline
     private static final String WATCH_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String EMPTY_LINE = "1\r\n\n\r\n";
 
     /** What discovery does with a call for the list. */
     private interface Answer {
@@ -107,6 +108,19 @@
         }
     }
 
+    /** A watch that shows life for as long as it is open, but sends no list. */
+    private static void watchWithoutList(StandIn.Request request) throws IOException {
+        if (!request.target().contains("follow=1")) {
+            request.answer(503);
+            return;
+        }
+        request.write(WATCH_HEAD.getBytes(StandardCharsets.US_ASCII));
+        while (true) { // until the relay closes it
+            request.write(EMPTY_LINE.getBytes(StandardCharsets.US_ASCII));
+            pause(500);
+        }
+    }
+
     /** Kills a relay that holds {@link #MESSAGES}, and starts it again beside the scripted discovery. */
     private void restartWithMessages() throws Exception {
         fixture.behaviour = request -> {}; // so that all of them wait or have been called without an answer
@@ -143,9 +157,12 @@
                 "unreadable",
                 "changes",
                 "silent",
-                "silent behind its head"
+                "silent behind its head",
+                "without a list",
+                "without a list, then refused"
             })
     void messagesWaitForTheListOfDiscovery(String discoveryState) throws Exception {
+        Answer watchWithoutList = PushedListAtStartTest::watchWithoutList;
         Answer silentBehindHead = request -> request.write(WATCH_HEAD.getBytes(StandardCharsets.US_ASCII));
         answers.addAll(
                 switch (discoveryState) {
@@ -156,7 +173,9 @@
                     case "unreadable" -> List.of(request -> answer(request, "{\"version\":2,\"servers\":7}"));
                     case "changes" -> List.of(refusedAfter(500), this::answerWithChanges);
                     case "silent" -> List.of(request -> {});
-                    default -> List.of(silentBehindHead);
+                    case "silent behind its head" -> List.of(silentBehindHead);
+                    case "without a list" -> List.of(watchWithoutList);
+                    default -> List.of(watchWithoutList, refusedAfter(0));
                 });
         restartWithMessages();
         awaitDeliveriesByTheNewList(fixture.now() + 2 * CALLED_MS);
