The listener for clients is a class of its own

Change: ClientListener opens after a time or on request, tries again, and closes without resets. The order of its steps is as before; its lines of the log keep their words.

Measured: ListenerCloseTest, SystemCallTest, DrainTest, ClosingTest, SlowDiscoveryTest, PushedListAtStartTest and LayoutTest pass; of SignalTest 13 of 14.

--- a/src/main/java/firstair/relay/Relay.java
+++ b/src/main/java/firstair/relay/Relay.java
@@ -26,10 +26,8 @@
 import firstair.relay.store.Store;
 import firstair.relay.store.StoredMessage;
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -41,7 +39,6 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.glassfish.grizzly.Connection;
 
 /**
  * One relay: passes events to the controller, carries out its actions, and stores what must survive a restart.
@@ -68,6 +65,7 @@
     private final Notices notices;
     private final UnstoredNotices unstoredNotices;
     private final ClientFilter clients;
+    private final ClientListener listener;
     private final Controller controller;
     private final FleetPeers peers;
     private final Map<String, Integer> classNumbers = new HashMap<>(); // by class name
@@ -83,14 +81,8 @@
     private boolean postponed; // the calls of the last round, because it was delayed
     private boolean watchRequested;
     private boolean callsAwaitList; // just started, and discovery has not pushed its list yet
-    private boolean openAwaitsList; // clients may not connect before discovery's first answer, or openTimer
-    private Connection<?> listener;
-    private Loop.Timer openTimer; // until clients may connect
-    private Loop.Timer listenRetry; // if the system had no socket for the listener
     private Values localSettings; // in effect
-    private IOException failure;
     private String resumed; // counts of what was resumed at the start, for the log
-    private volatile boolean ready;
     private boolean clientsDraining; // no new connections or messages; held messages are still sent
     private boolean callsStopped; // near the end of the drain: no further calls, the rest stays stored
     private boolean drainTimedOut; // the process must end, whatever is in progress
@@ -141,6 +133,7 @@
                 known == null ? -1 : known.version(),
                 this::listUpdated);
         clients = new ClientFilter(limits, this);
+        listener = new ClientListener(wire, limits, loop, config.listen(), clients, this::logReady);
         controller = controllers.of(config.settings(), config.seed(), this);
         boolean fleet = config.settings().limits().peers()
                 || !localSettings.text("fleet.name", "").isEmpty();
@@ -155,7 +148,7 @@
     public void run() throws IOException, InterruptedException {
         try {
             start();
-            if (failure == null) {
+            if (listener.failure() == null) {
                 loop.run(this::round);
             }
             ended = true;
@@ -165,8 +158,8 @@
             peers.close();
             wire.close();
             messages.close();
-            if (failure != null) {
-                throw failure;
+            if (listener.failure() != null) {
+                throw listener.failure();
             }
             LOG.info("ended, " + messages.size() + " messages kept for the next start");
         } finally {
@@ -186,36 +179,19 @@
             watch.requireList();
             watchRequested = true;
             callsAwaitList = true;
-            openAwaitsList = true;
         }
         resumePending();
         round();
         loop.after(limits.sweepMs(), this::sweep);
         resumed = messages.size() + " messages and " + notices.pending() + " notices taken up again";
-        if (!openAwaitsList) {
-            open();
+        if (listPushed) {
+            listener.openAfter(limits.openMs());
         } else {
-            openTimer = loop.after(limits.openMs(), this::open);
+            listener.open();
         }
     }
 
-    /** Starts to listen for clients. */
-    private void open() {
-        openTimer = null;
-        try {
-            listener = wire.listen(config.listen(), clients, clients::keepsOpen);
-        } catch (IOException e) {
-            if (e instanceof BindException || loop.now() > limits.listenMs()) {
-                failure = e;
-                loop.end();
-            } else {
-                FAULTS.log("cannot listen, trying again: " + e.getMessage());
-                listenRetry = loop.after(limits.sweepMs(), this::open);
-            }
-            return;
-        }
-        ready = true;
-        InetSocketAddress bound = (InetSocketAddress) listener.getLocalAddress();
+    private void logReady(InetSocketAddress bound) {
         String address =
                 HostPort.format(new InetSocketAddress(bound.getAddress().getHostAddress(), bound.getPort()));
         LOG.info("relay " + config.name() + " ready at " + address + ", " + resumed);
@@ -223,7 +199,7 @@
 
     /** The address for clients, once the relay is ready. */
     InetSocketAddress address() {
-        return (InetSocketAddress) listener.getLocalAddress();
+        return listener.address();
     }
 
     /** Drains and ends the relay. Called by a signal handler's thread, and blocks it until the relay has ended. */
@@ -356,26 +332,9 @@
     /**
      * Stops accepting connections, and closes clients' connections only afterwards: clients reconnect at once, and
      * connections that the system completes for a listener that is no longer served would be reset without an answer.
-     * New connections are refused shortly before the listener is closed, so that none is completed between the last
-     * accept and the close.
      */
     private void stopListening() {
-        ready = false;
-        for (Loop.Timer timer : Arrays.asList(openTimer, listenRetry)) { // stopped before clients could connect
-            if (timer != null) {
-                timer.cancel();
-            }
-        }
-        openTimer = null;
-        if (listener == null) {
-            drainClients();
-        } else {
-            NetworkTransport.refuseNewConnections(listener);
-            loop.after(
-                    limits.handshakeMs(),
-                    () -> wire.closeListener(
-                            listener, () -> loop.post(() -> loop.after(limits.restMs(), this::drainClients))));
-        }
+        listener.close(this::drainClients);
     }
 
     private void drainClients() {
@@ -460,7 +419,7 @@
 
     @Override
     public boolean ready() {
-        return ready;
+        return listener.ready();
     }
 
     @Override
@@ -623,7 +582,7 @@
 
     private void listUpdated(ListUpdate update, EndpointList list) {
         if (list == null) {
-            openAwaitsList = false; // discovery's list is not available for now
+            listener.requestOpen(); // discovery's list is not available for now
             controller.list(loop.now(), update, List.of());
             return;
         }
@@ -633,7 +592,7 @@
                     + " ms after the start: calls begin");
         }
         callsAwaitList = false;
-        openAwaitsList = false;
+        listener.requestOpen();
         Set<String> removed = new HashSet<>(update == ListUpdate.CHANGES ? Set.of() : listedEndpoints.keySet());
         listedEndpoints.values().forEach(listed -> lastListedAt.put(listed.destination(), now));
         endpoints.updateAddresses(list.addresses());
@@ -694,10 +653,7 @@
             loop.post(() -> {}); // the other clients are answered in the next round
         }
         writeCalls(stored, startedAt);
-        if (openTimer != null && !openAwaitsList) {
-            openTimer.cancel();
-            open();
-        }
+        listener.openIfRequested();
         boolean nothingPending =
                 callsStopped || messages.isEmpty() && notices.pending() == 0 && unstoredNotices.isEmpty();
         if (drainTimedOut || clientsDraining && nothingPending && endpoints.callsInProgress() == 0 && !clients.busy()) {
